Thin whole path from declaration to answer

Cause: the repository was empty; both deployments need one request served end to end before anything can be measured.

Change: entry host with its three roles (entry, owner, dispatcher), the decision modules without I/O, adapters for HTTP, ZeroMQ and the platform's log, stand-ins with fault switches, heathermoorctl, both example deployments and a demo that kills an entry host on the way.

--- /dev/null
+++ b/src/heathermoor/config/declaration.cpp
@@ -0,0 +1,414 @@
+#include "heathermoor/config/declaration.hpp"
+
+#include <algorithm>
+#include <array>
+#include <fmt/format.h>
+#include <limits>
+#include <optional>
+#include <regex>
+#include <set>
+#include <sstream>
+#include <yaml-cpp/eventhandler.h>
+#include <yaml-cpp/yaml.h>
+
+namespace heathermoor::config {
+
+namespace internal {
+
+constexpr int max_depth = 12;
+constexpr std::array<std::string_view, 12> fault_names{"syntax",        "too_large",          "too_deep",          "anchors_not_allowed",
+                                                       "duplicate_key", "missing_field",      "unknown_field",     "wrong_type",
+                                                       "out_of_range",  "unsupported_schema", "unknown_reference", "duplicate_item"};
+
+/// Collects diagnostics of one document.
+class reporter {
+  public:
+    reporter(const declaration &source, std::vector<diagnostic> &out) : m_file{source.file}, m_first_line{source.first_line}, m_out{&out} {}
+
+    void add(fault what, const YAML::Mark &mark, std::string field, std::string allowed) const {
+        const auto line = mark.is_null() ? 0 : mark.line;
+        const auto column = mark.is_null() ? 0 : mark.column;
+        m_out->push_back({what, m_file, m_first_line + line + 1, column + 1, std::move(field), std::move(allowed)});
+    }
+
+  private:
+    std::string m_file;
+    int m_first_line;
+    std::vector<diagnostic> *m_out;
+};
+
+/// Checks a document for depth and anchors before it is built in memory.
+class outline final : public YAML::EventHandler {
+  public:
+    explicit outline(const reporter &report) : m_report{&report} {}
+
+    void OnDocumentStart(const YAML::Mark & /*mark*/) override {}
+    void OnDocumentEnd() override {}
+    void OnNull(const YAML::Mark &mark, YAML::anchor_t anchor) override { check_anchor(mark, anchor); }
+    void OnAlias(const YAML::Mark &mark, YAML::anchor_t anchor) override { check_anchor(mark, anchor); }
+    void OnScalar(const YAML::Mark &mark, const std::string & /*tag*/, YAML::anchor_t anchor, const std::string & /*value*/) override {
+        check_anchor(mark, anchor);
+    }
+    void OnSequenceStart(const YAML::Mark &mark, const std::string & /*tag*/, YAML::anchor_t anchor,
+                         YAML::EmitterStyle::value /*style*/) override {
+        enter(mark, anchor);
+    }
+    void OnSequenceEnd() override { --m_depth; }
+    void OnMapStart(const YAML::Mark &mark, const std::string & /*tag*/, YAML::anchor_t anchor,
+                    YAML::EmitterStyle::value /*style*/) override {
+        enter(mark, anchor);
+    }
+    void OnMapEnd() override { --m_depth; }
+
+    [[nodiscard]] bool clean() const noexcept { return m_clean; }
+
+  private:
+    void check_anchor(const YAML::Mark &mark, YAML::anchor_t anchor) {
+        if(anchor != YAML::NullAnchor && m_clean) {
+            m_clean = false;
+            m_report->add(fault::anchors_not_allowed, mark, "", "a document without anchors and aliases");
+        }
+    }
+
+    void enter(const YAML::Mark &mark, YAML::anchor_t anchor) {
+        check_anchor(mark, anchor);
+        if(++m_depth > max_depth && m_clean) {
+            m_clean = false;
+            m_report->add(fault::too_deep, mark, "", fmt::format("at most {} levels", max_depth));
+        }
+    }
+
+    const reporter *m_report;
+    int m_depth{};
+    bool m_clean{true};
+};
+
+using parameter_map = std::map<std::string, YAML::Node>;
+
+/// Reads the fields of one mapping and reports what does not fit.
+class field_reader {
+  public:
+    field_reader(const YAML::Node &node, std::string path, const reporter &report, const parameter_map *parameters = nullptr)
+        : m_node{node}, m_path{std::move(path)}, m_report{&report}, m_parameters{parameters} {
+        if(!m_node.IsMap()) {
+            m_report->add(fault::wrong_type, m_node.Mark(), m_path, "a mapping");
+            return;
+        }
+        for(const auto &pair : m_node) {
+            if(!pair.first.IsScalar()) {
+                m_report->add(fault::wrong_type, pair.first.Mark(), m_path, "a scalar key");
+                continue;
+            }
+            if(!m_fields.emplace(pair.first.Scalar(), pair.second).second) {
+                m_report->add(fault::duplicate_key, pair.first.Mark(), field(pair.first.Scalar()), "each key once");
+            }
+        }
+    }
+
+    [[nodiscard]] std::map<std::string, YAML::Node> fields() const { return m_fields; }
+    [[nodiscard]] std::string field(const std::string &name) const { return m_path.empty() ? name : m_path + "." + name; }
+
+    void allow(const std::set<std::string> &names) const {
+        for(const auto &[name, value] : m_fields) {
+            if(!names.contains(name)) {
+                m_report->add(fault::unknown_field, value.Mark(), field(name), fmt::format("{}", fmt::join(names, ", ")));
+            }
+        }
+    }
+
+    [[nodiscard]] std::optional<YAML::Node> get(const std::string &name, bool required) const {
+        const auto found = m_fields.find(name);
+        if(found == m_fields.end()) {
+            if(required) {
+                m_report->add(fault::missing_field, m_node.Mark(), field(name), "a value");
+            }
+            return std::nullopt;
+        }
+        return substitute(name, found->second);
+    }
+
+    [[nodiscard]] std::string text(const std::string &name, const std::string &pattern, bool required = true) const {
+        const auto value = get(name, required);
+        if(!value) {
+            return {};
+        }
+        if(!value->IsScalar() || !std::regex_match(value->Scalar(), std::regex{pattern})) {
+            m_report->add(fault::wrong_type, value->Mark(), field(name), "text matching " + pattern);
+            return {};
+        }
+        return value->Scalar();
+    }
+
+    [[nodiscard]] std::int64_t integer(const std::string &name, std::int64_t fallback, std::int64_t least, std::int64_t most) const {
+        const auto value = get(name, false);
+        std::int64_t number{};
+        if(!value) {
+            return fallback;
+        }
+        if(!value->IsScalar() || !YAML::convert<std::int64_t>::decode(*value, number)) {
+            m_report->add(fault::wrong_type, value->Mark(), field(name), fmt::format("an integer from {} to {}", least, most));
+            return fallback;
+        }
+        if(number < least || number > most) {
+            m_report->add(fault::out_of_range, value->Mark(), field(name), fmt::format("{} to {}", least, most));
+            return fallback;
+        }
+        return number;
+    }
+
+    [[nodiscard]] bool flag(const std::string &name) const {
+        const auto value = get(name, false);
+        bool set{};
+        if(value && (!value->IsScalar() || !YAML::convert<bool>::decode(*value, set))) {
+            m_report->add(fault::wrong_type, value->Mark(), field(name), "true or false");
+        }
+        return set;
+    }
+
+  private:
+    [[nodiscard]] std::optional<YAML::Node> substitute(const std::string &name, const YAML::Node &value) const {
+        if(m_parameters == nullptr || !value.IsScalar() || !value.Scalar().starts_with("${")) {
+            return value;
+        }
+        const auto &reference = value.Scalar();
+        const auto found = reference.ends_with("}") ? m_parameters->find(reference.substr(2, reference.size() - 3)) : m_parameters->end();
+        if(found == m_parameters->end()) {
+            m_report->add(fault::unknown_reference, value.Mark(), field(name), "a parameter that the template declares");
+            return std::nullopt;
+        }
+        return found->second;
+    }
+
+    YAML::Node m_node;
+    std::string m_path;
+    const reporter *m_report;
+    const parameter_map *m_parameters;
+    std::map<std::string, YAML::Node> m_fields;
+};
+
+const std::string name_pattern = "[a-z0-9][a-z0-9-]{0,62}";
+const std::string digest_pattern = "[0-9a-f]{64}";
+constexpr std::int64_t max_deadline_ms = 600'000;
+constexpr std::int64_t max_share = 100'000;
+
+[[nodiscard]] std::optional<YAML::Node> load(const declaration &source, const reporter &report) {
+    if(source.text.size() > max_document_bytes) {
+        report.add(fault::too_large, {}, "", fmt::format("at most {} bytes", max_document_bytes));
+        return std::nullopt;
+    }
+    try {
+        outline check{report};
+        std::istringstream stream{source.text};
+        YAML::Parser parser{stream};
+        while(parser.HandleNextDocument(check)) {
+        }
+        if(!check.clean()) {
+            return std::nullopt;
+        }
+        return YAML::Load(source.text);
+    } catch(const YAML::Exception &failure) {
+        report.add(fault::syntax, failure.mark, "", failure.msg);
+        return std::nullopt;
+    }
+}
+
+void check_parameter(const field_reader &declared, const YAML::Node &value, const std::string &path, const reporter &report) {
+    const auto type = declared.text("type", "integer|text|name");
+    if(type == "integer") {
+        const auto least = declared.integer("min", 0, std::numeric_limits<std::int32_t>::min(), std::numeric_limits<std::int32_t>::max());
+        const auto most =
+            declared.integer("max", std::numeric_limits<std::int32_t>::max(), least, std::numeric_limits<std::int32_t>::max());
+        std::int64_t number{};
+        if(!value.IsScalar() || !YAML::convert<std::int64_t>::decode(value, number)) {
+            report.add(fault::wrong_type, value.Mark(), path, fmt::format("an integer from {} to {}", least, most));
+        } else if(number < least || number > most) {
+            report.add(fault::out_of_range, value.Mark(), path, fmt::format("{} to {}", least, most));
+        }
+    } else if(type == "name" && (!value.IsScalar() || !std::regex_match(value.Scalar(), std::regex{name_pattern}))) {
+        report.add(fault::wrong_type, value.Mark(), path, "text matching " + name_pattern);
+    }
+}
+
+[[nodiscard]] parameter_map read_parameters(const field_reader &form, const field_reader &service, const reporter &report,
+                                            const reporter &template_report) {
+    parameter_map values;
+    parameter_map given;
+    if(const auto node = service.get("parameters", false)) {
+        given = field_reader{*node, "parameters", report}.fields();
+    }
+    if(const auto node = form.get("parameters", false)) {
+        for(const auto &[name, declared] : field_reader{*node, "parameters", template_report}.fields()) {
+            const field_reader declaration{declared, "parameters." + name, template_report};
+            declaration.allow({"type", "min", "max", "default", "unit", "description"});
+            const auto chosen = given.find(name);
+            const auto fallback = declaration.get("default", false);
+            if(chosen != given.end()) {
+                check_parameter(declaration, chosen->second, "parameters." + name, report);
+                values.emplace(name, chosen->second);
+            } else if(fallback) {
+                check_parameter(declaration, *fallback, "parameters." + name + ".default", template_report);
+                values.emplace(name, *fallback);
+            } else {
+                report.add(fault::missing_field, {}, "parameters." + name, "a value, for the template has no default");
+            }
+        }
+    }
+    for(const auto &[name, value] : given) {
+        if(!values.contains(name)) {
+            report.add(fault::unknown_field, value.Mark(), "parameters." + name, "a parameter that the template declares");
+        }
+    }
+    return values;
+}
+
+void read_requests(const field_reader &form, const parameter_map &parameters, const reporter &report, service_policy &service) {
+    const auto node = form.get("requests", true);
+    if(!node) {
+        return;
+    }
+    for(const auto &[name, value] : field_reader{*node, "requests", report}.fields()) {
+        const field_reader fields{value, "requests." + name, report, &parameters};
+        fields.allow({"never_repeat", "deadline_ms", "description"});
+        service.requests[request_name{name}] = {fields.flag("never_repeat"),
+                                                milliseconds{fields.integer("deadline_ms", 0, 1, max_deadline_ms)}};
+    }
+}
+
+void read_customer(const std::string &name, const YAML::Node &node, const parameter_map &parameters, const reporter &report,
+                   service_policy &service) {
+    const field_reader fields{node, "customers." + name, report, &parameters};
+    fields.allow({"credential_sha256", "requests", "share", "cap"});
+    customer_policy customer;
+    customer.credential_sha256 = fields.text("credential_sha256", digest_pattern);
+    customer.share = static_cast<double>(fields.integer("share", 1, 1, max_share));
+    customer.cap = static_cast<std::uint32_t>(fields.integer("cap", 0, 0, max_share));
+    const auto requests = fields.get("requests", true);
+    if(requests && !requests->IsSequence()) {
+        report.add(fault::wrong_type, requests->Mark(), fields.field("requests"), "a list of requests");
+    } else if(requests) {
+        for(const auto &item : *requests) {
+            const request_name request{item.IsScalar() ? item.Scalar() : std::string{}};
+            if(!service.requests.contains(request)) {
+                report.add(fault::unknown_reference, item.Mark(), fields.field("requests"), "a request of the template");
+            }
+            customer.requests.insert(request);
+        }
+    }
+    service.customers.emplace(customer_id{name}, std::move(customer));
+}
+
+void check_template(const field_reader &fields) {
+    fields.allow({"schema", "kind", "name", "description", "parameters", "pool", "default_deadline_ms", "max_deadline_ms", "long_task_ms",
+                  "long_slots_percent", "requests"});
+}
+
+[[nodiscard]] std::optional<service_policy> resolve_service(const declaration &source, const std::map<item_key, declaration> &items,
+                                                            std::vector<diagnostic> &diagnostics) {
+    const reporter report{source, diagnostics};
+    const auto node = load(source, report);
+    if(!node) {
+        return std::nullopt;
+    }
+    const field_reader fields{*node, "", report};
+    fields.allow({"schema", "kind", "name", "description", "template", "parameters", "customers"});
+    const auto template_name = fields.text("template", name_pattern);
+    const auto found = items.find({"template", template_name});
+    if(found == items.end()) {
+        report.add(fault::unknown_reference, node->Mark(), "template", "the name of a template");
+        return std::nullopt;
+    }
+    std::vector<diagnostic> of_template;
+    const reporter template_report{found->second, of_template};
+    const auto form_node = load(found->second, template_report);
+    if(!form_node) {
+        return std::nullopt;
+    }
+    const field_reader plain_form{*form_node, "", template_report};
+    const auto parameters = read_parameters(plain_form, fields, report, template_report);
+    const field_reader form{*form_node, "", template_report, &parameters};
+    service_policy service;
+    service.name = service_id{source.key.name};
+    service.pool = pool_id{form.text("pool", name_pattern)};
+    service.max_deadline = milliseconds{form.integer("max_deadline_ms", 60'000, 1, max_deadline_ms)};
+    service.default_deadline = milliseconds{form.integer("default_deadline_ms", 2'000, 1, service.max_deadline.count())};
+    service.long_task = milliseconds{form.integer("long_task_ms", 1'000, 1, max_deadline_ms)};
+    service.long_slots_percent = static_cast<std::uint32_t>(form.integer("long_slots_percent", 60, 1, 100));
+    read_requests(form, parameters, template_report, service);
+    if(const auto customers = fields.get("customers", true)) {
+        for(const auto &[name, value] : field_reader{*customers, "customers", report}.fields()) {
+            read_customer(name, value, parameters, report, service);
+        }
+    }
+    diagnostics.insert(diagnostics.end(), of_template.begin(), of_template.end());
+    return service;
+}
+
+} // namespace internal
+
+std::string_view fault_name(fault what) noexcept {
+    return internal::fault_names.at(static_cast<std::size_t>(what));
+}
+
+std::string to_string(const diagnostic &entry) {
+    return fmt::format("{}:{}:{}: {} field={} allowed=\"{}\"", entry.file, entry.line, entry.column, fault_name(entry.what),
+                       entry.field.empty() ? "-" : entry.field, entry.allowed);
+}
+
+std::vector<declaration> read_declarations(const std::string &file, const std::string &text, std::vector<diagnostic> &diagnostics) {
+    std::vector<declaration> found;
+    std::istringstream lines{text};
+    std::string line;
+    declaration current{{}, file, 0, {}};
+    auto number = 0;
+    const auto finish = [&] {
+        if(current.text.find_first_not_of(" \t\r\n") == std::string::npos) {
+            return;
+        }
+        const internal::reporter report{current, diagnostics};
+        const auto node = internal::load(current, report);
+        if(!node) {
+            return;
+        }
+        const internal::field_reader fields{*node, "", report};
+        if(!node->IsMap()) {
+            return;
+        }
+        if(fields.integer("schema", 0, 0, std::numeric_limits<std::int32_t>::max()) != schema_version) {
+            report.add(fault::unsupported_schema, node->Mark(), "schema", fmt::format("{}", schema_version));
+            return;
+        }
+        current.key = {fields.text("kind", "template|service"), fields.text("name", internal::name_pattern)};
+        if(current.key.kind == "template") {
+            internal::check_template(fields);
+        }
+        if(!current.key.kind.empty() && !current.key.name.empty()) {
+            found.push_back(current);
+        }
+    };
+    while(std::getline(lines, line)) {
+        ++number;
+        if(line == "---") {
+            finish();
+            current = {{}, file, number, {}};
+        } else {
+            current.text += line + "\n";
+        }
+    }
+    finish();
+    return found;
+}
+
+policy resolve(const std::map<item_key, declaration> &items, std::vector<diagnostic> &diagnostics) {
+    policy result;
+    for(const auto &[key, source] : items) {
+        if(key.kind == "service") {
+            if(auto service = internal::resolve_service(source, items, diagnostics)) {
+                const auto name = service->name;
+                result.services.emplace(name, std::move(*service));
+            }
+        }
+    }
+    return result;
+}
+
+} // namespace heathermoor::config
--- /dev/null
+++ b/src/heathermoor/config/declaration.hpp
@@ -0,0 +1,89 @@
+#pragma once
+
+#include "heathermoor/config/policy.hpp"
+#include <cstddef>
+#include <map>
+#include <string>
+#include <string_view>
+#include <vector>
+
+namespace heathermoor::config {
+
+/// @brief Newest schema of declarations that this program reads.
+inline constexpr int schema_version = 1;
+
+/// @brief Largest document, in bytes.
+inline constexpr std::size_t max_document_bytes = 256U * 1024U;
+
+/// @brief What is wrong with a declaration.
+enum class fault : std::uint8_t {
+    syntax,
+    too_large,
+    too_deep,
+    anchors_not_allowed,
+    duplicate_key,
+    missing_field,
+    unknown_field,
+    wrong_type,
+    out_of_range,
+    unsupported_schema,
+    unknown_reference,
+    duplicate_item
+};
+
+/// @brief One error in a declaration and where it is.
+struct diagnostic {
+    fault what{};
+    std::string file;
+    /// Counted from 1.
+    int line{};
+    /// Counted from 1.
+    int column{};
+    /// Path of the field, such as `customers.dealer-01.share`.
+    std::string field;
+    /// What is allowed in this place.
+    std::string allowed;
+};
+
+/// @brief Name of a fault in snake case.
+/// @param what Fault.
+/// @return Name.
+[[nodiscard]] std::string_view fault_name(fault what) noexcept;
+
+/// @brief One line for a person: file:line:column, fault, field, what is allowed.
+/// @param entry Diagnostic.
+/// @return Line without a line break.
+[[nodiscard]] std::string to_string(const diagnostic &entry);
+
+/// @brief Kind and name of an item.
+struct item_key {
+    std::string kind;
+    std::string name;
+
+    friend auto operator<=>(const item_key &, const item_key &) = default;
+};
+
+/// @brief One YAML document of a declaration file.
+struct declaration {
+    item_key key;
+    std::string file;
+    /// Line of the document's first line within its file, counted from 0.
+    int first_line{};
+    std::string text;
+};
+
+/// @brief Splits a file into its documents and checks their outer form.
+/// @param file Name for diagnostics.
+/// @param text Content of the file.
+/// @param diagnostics Receives every error found.
+/// @return Documents whose kind and name could be read.
+[[nodiscard]] std::vector<declaration> read_declarations(const std::string &file, const std::string &text,
+                                                         std::vector<diagnostic> &diagnostics);
+
+/// @brief Fills the templates in for each service.
+/// @param items All declarations in force, by key.
+/// @param diagnostics Receives every error found.
+/// @return Services; incomplete if there is any diagnostic.
+[[nodiscard]] policy resolve(const std::map<item_key, declaration> &items, std::vector<diagnostic> &diagnostics);
+
+} // namespace heathermoor::config
--- /dev/null
+++ b/src/heathermoor/host/control_role.cpp
@@ -0,0 +1,506 @@
+#include "heathermoor/host/control_role.hpp"
+
+#include "heathermoor/core/rendezvous.hpp"
+#include <algorithm>
+#include <google/protobuf/util/json_util.h>
+
+namespace heathermoor::host {
+
+namespace internal {
+
+constexpr std::size_t max_recent_records = 512;
+constexpr std::size_t max_relayed_records = 64;
+
+[[nodiscard]] time_point to_time(std::int64_t us) noexcept {
+    return time_point{duration{us}};
+}
+
+[[nodiscard]] std::int64_t to_us(time_point value) noexcept {
+    return value.time_since_epoch().count();
+}
+
+} // namespace internal
+
+control_role::control_role(const settings &options, time_point now)
+    : m_options{options}, m_peers{options.silence}, m_keeper{{options.host, options.process, options.peer_address, options.http_address,
+                                                              options.weight},
+                                                             options.domain,
+                                                             options.keeper,
+                                                             now},
+      m_lease{options.keeper.evidence_period} {}
+
+bool control_role::heard(const wire::envelope &message, time_point now, control_effects &effects) {
+    const std::lock_guard lock{m_mutex};
+    if(message.to_incarnation() != 0 && message.to_incarnation() != raw(m_options.process)) {
+        return false;
+    }
+    const host_id from{message.from()};
+    if(from == m_options.host) {
+        return message.incarnation() == raw(m_options.process);
+    }
+    const auto process = static_cast<incarnation>(message.incarnation());
+    if(const auto *known = m_peers.find(from); known != nullptr && raw(known->process) > raw(process)) {
+        return false;
+    }
+    const auto was_alive = m_peers.alive(from);
+    auto replaced = m_peers.heard(from, failure_domain_id{message.domain()}, process, internal::to_time(message.sent_us()), now);
+    if(replaced) {
+        effects.lost.push_back(*replaced);
+    }
+    effects.targets_changed = effects.targets_changed || !was_alive || replaced.has_value();
+    return true;
+}
+
+void control_role::heartbeat(const wire::envelope &message, time_point now) {
+    const std::lock_guard lock{m_mutex};
+    const host_id from{message.from()};
+    auto *peer = m_peers.find(from);
+    if(peer == nullptr) {
+        return;
+    }
+    const auto &beat = message.beat();
+    peer->draining = beat.draining();
+    peer->config_offset = beat.config_offset();
+    peer->config_hash = beat.config_hash();
+    peer->http_address = beat.http_address();
+    peer->weight = beat.weight();
+    if(!beat.peer_address().empty()) {
+        m_seeds[from] = beat.peer_address();
+    }
+    peer->load.clear();
+    for(const auto &load : beat.load()) {
+        peer->load.push_back(
+            {pool_id{load.pool()}, load.capacity(), load.backlog_ms(), load.short_backlog_ms(), load.free_slots(), load.slots()});
+    }
+    const auto asked = internal::to_time(message.echo_us());
+    if(message.to_incarnation() != raw(m_options.process) || asked == time_point{} || asked > now) {
+        return;
+    }
+    if(beat.no_claim() && peer->domain == m_options.domain) {
+        m_lease.promised(from, asked);
+    }
+    const auto current = beat.ownership_offset() <= raw(m_map.next_offset());
+    if(beat.log_evidence() && current && m_ownership_read) {
+        m_lease.log_read(asked - milliseconds{beat.log_age_ms()});
+    }
+}
+
+void control_role::address(const host_id &to, wire::envelope &message, time_point now) const {
+    const std::lock_guard lock{m_mutex};
+    message.set_from(m_options.host.str());
+    message.set_incarnation(raw(m_options.process));
+    message.set_domain(m_options.domain.str());
+    message.set_sent_us(internal::to_us(now));
+    if(to == m_options.host) {
+        message.set_to_incarnation(raw(m_options.process));
+    } else if(const auto *peer = m_peers.find(to); peer != nullptr) {
+        message.set_echo_us(internal::to_us(peer->peer_clock));
+        message.set_to_incarnation(raw(peer->process));
+    }
+}
+
+void control_role::apply_keeper(ownership::keeper_effects found, control_effects &effects) const {
+    std::move(found.appends.begin(), found.appends.end(), std::back_inserter(effects.appends));
+    std::move(found.recalls.begin(), found.recalls.end(), std::back_inserter(effects.recalls));
+    effects.recall_own.insert(effects.recall_own.end(), found.claimed.begin(), found.claimed.end());
+    effects.read_journal = effects.read_journal || found.read_journal;
+    if(found.transfer) {
+        effects.transfer = std::move(found.transfer);
+    }
+}
+
+void control_role::apply_config(log_offset offset, const std::string &data, control_effects &effects) {
+    if(raw(offset) < raw(m_config.next_offset())) {
+        return;
+    }
+    wire::record kept;
+    kept.set_offset(raw(offset));
+    kept.set_data(data);
+    m_recent_config.push_back(std::move(kept));
+    if(m_recent_config.size() > internal::max_recent_records) {
+        m_recent_config.pop_front();
+    }
+    const auto before = m_config.current();
+    if(auto entry = m_config.apply(offset, data)) {
+        effects.audit.push_back(std::move(*entry));
+    }
+    effects.policy_changed = effects.policy_changed || m_config.current() != before;
+}
+
+void control_role::apply_ownership(const wire::record &record, time_point now, control_effects &effects) {
+    wire::ownership_record change;
+    google::protobuf::util::JsonParseOptions options;
+    options.ignore_unknown_fields = true;
+    if(!google::protobuf::util::JsonStringToMessage(record.data(), &change, options).ok()) {
+        return;
+    }
+    const auto granted = m_map.apply(static_cast<log_offset>(record.offset()), change);
+    ownership::keeper_effects found;
+    m_keeper.applied(change, static_cast<log_offset>(record.offset()), granted, m_map, m_peers, now, found);
+    apply_keeper(std::move(found), effects);
+}
+
+void control_role::log_read(const port::log_batch &batch, time_point now, control_effects &effects) {
+    const std::lock_guard lock{m_mutex};
+    if(batch.stream == port::log_stream::config) {
+        m_config.truncated(batch.first);
+        for(const auto &record : batch.records) {
+            apply_config(static_cast<log_offset>(record.offset()), record.data(), effects);
+        }
+        const auto caught_up = raw(m_config.next_offset()) >= raw(batch.tail);
+        if(caught_up && m_config.complete() && m_config.records_since_snapshot() >= m_options.snapshot_interval && snapshot_turn()) {
+            if(!m_snapshot_due) {
+                effects.snapshot = m_config.snapshot();
+            }
+            m_snapshot_due = true;
+        } else {
+            m_snapshot_due = false;
+        }
+        return;
+    }
+    for(const auto &record : batch.records) {
+        apply_ownership(record, now, effects);
+    }
+    if(raw(m_map.next_offset()) >= raw(batch.tail)) {
+        m_lease.log_read(batch.asked);
+        m_direct_read = std::max(m_direct_read, batch.asked);
+        m_ownership_read = true;
+    }
+}
+
+bool control_role::snapshot_turn() const {
+    const auto turn = raw(m_config.next_offset()) / m_options.snapshot_interval;
+    const auto own = rendezvous_score(m_options.host.str(), 1.0, turn);
+    return std::none_of(m_peers.all().begin(), m_peers.all().end(),
+                        [&](const auto &entry) { return entry.second.alive && rendezvous_score(entry.first.str(), 1.0, turn) > own; });
+}
+
+void control_role::relayed(const wire::relay &message, time_point /*now*/, control_effects &effects) {
+    const std::lock_guard lock{m_mutex};
+    for(const auto &record : message.records()) {
+        if(record.offset() > raw(m_config.next_offset())) {
+            m_config.truncated(static_cast<log_offset>(record.offset()));
+        }
+        apply_config(static_cast<log_offset>(record.offset()), record.data(), effects);
+    }
+}
+
+std::optional<wire::relay> control_role::relay_for(const host_id &to) const {
+    const std::lock_guard lock{m_mutex};
+    const auto *peer = m_peers.find(to);
+    const auto last = raw(m_config.next_offset()) - 1;
+    if(peer == nullptr || !m_config.complete() || peer->config_offset >= last) {
+        return std::nullopt;
+    }
+    wire::relay message;
+    message.set_stream("config");
+    if(m_recent_config.empty() || m_recent_config.front().offset() > peer->config_offset + 1) {
+        auto *record = message.add_records();
+        record->set_offset(last + 1);
+        record->set_data(m_config.snapshot());
+        return message;
+    }
+    for(const auto &record : m_recent_config) {
+        if(record.offset() > peer->config_offset && message.records_size() < static_cast<int>(internal::max_relayed_records)) {
+            *message.add_records() = record;
+        }
+    }
+    return message;
+}
+
+void control_role::host_list(std::vector<port::listed_host> hosts, control_effects &effects) {
+    const std::lock_guard lock{m_mutex};
+    m_hosts = std::move(hosts);
+    std::set<host_id> live;
+    for(const auto &listed : m_hosts) {
+        if(!listed.is_target) {
+            live.insert(host_id{listed.id});
+        }
+    }
+    m_keeper.host_list(std::move(live));
+    effects.targets_changed = true;
+}
+
+void control_role::tick(time_point now, control_effects &effects) {
+    const std::lock_guard lock{m_mutex};
+    for(auto &lost : m_peers.tick(now)) {
+        effects.lost.push_back(std::move(lost));
+        effects.targets_changed = true;
+    }
+    if(!m_ownership_read) {
+        return;
+    }
+    ownership::keeper_effects found;
+    m_keeper.tick(m_map, m_peers, now, found);
+    apply_keeper(std::move(found), effects);
+}
+
+wire::heartbeat control_role::make_heartbeat(const host_id &to, const std::map<pool_id, placement::pool_load> &load, time_point now) {
+    const std::lock_guard lock{m_mutex};
+    wire::heartbeat beat;
+    for(const auto &[pool, summary] : load) {
+        auto *out = beat.add_load();
+        out->set_pool(pool.str());
+        out->set_capacity(summary.capacity);
+        out->set_backlog_ms(summary.backlog_ms);
+        out->set_short_backlog_ms(summary.short_backlog_ms);
+        out->set_free_slots(summary.free_slots);
+        out->set_slots(summary.slots);
+    }
+    beat.set_draining(m_draining);
+    beat.set_config_offset(m_config.complete() ? raw(m_config.next_offset()) - 1 : 0);
+    beat.set_config_hash(m_config.hash());
+    beat.set_http_address(m_options.http_address);
+    beat.set_peer_address(m_options.peer_address);
+    beat.set_weight(m_options.weight);
+    const auto age = now - m_direct_read;
+    beat.set_log_evidence(m_ownership_read && age < m_options.keeper.evidence_period);
+    beat.set_log_age_ms(static_cast<std::uint32_t>(to_ms(age)) + 1);
+    beat.set_ownership_offset(raw(m_map.next_offset()));
+    const auto *peer = m_peers.find(to);
+    beat.set_no_claim(peer != nullptr && peer->domain == m_options.domain && m_ownership_read && m_keeper.promise(to, m_peers, now));
+    return beat;
+}
+
+std::vector<host_id> control_role::peers() const {
+    const std::lock_guard lock{m_mutex};
+    std::set<host_id> names;
+    for(const auto &[host, address] : m_seeds) {
+        names.insert(host);
+    }
+    for(const auto &domain : m_map.domains()) {
+        for(const auto &[host, joined] : m_map.members(domain)) {
+            names.insert(host);
+        }
+    }
+    names.erase(m_options.host);
+    return {names.begin(), names.end()};
+}
+
+std::vector<std::pair<host_id, std::string>> control_role::addresses() const {
+    const std::lock_guard lock{m_mutex};
+    std::map<host_id, std::string> found = m_seeds;
+    for(const auto &domain : m_map.domains()) {
+        for(const auto &[host, joined] : m_map.members(domain)) {
+            if(!joined.peer_address.empty()) {
+                found[host] = joined.peer_address;
+            }
+        }
+    }
+    found.erase(m_options.host);
+    return {found.begin(), found.end()};
+}
+
+void control_role::add_seed(const host_id &host, const std::string &address) {
+    const std::lock_guard lock{m_mutex};
+    m_seeds[host] = address;
+}
+
+void control_role::update_loads(const std::map<pool_id, placement::pool_load> &own) {
+    const std::lock_guard lock{m_mutex};
+    std::map<pool_id, std::vector<placement::share_load>> pools;
+    for(const auto &[pool, load] : own) {
+        pools[pool].push_back({m_options.host, true, load.capacity, load.backlog_ms, load.slots, load.free_slots});
+    }
+    for(const auto &[host, peer] : m_peers.all()) {
+        if(!peer.alive || peer.draining) {
+            continue;
+        }
+        for(const auto &load : peer.load) {
+            const auto near = peer.domain == m_options.domain;
+            pools[load.pool].push_back({host, near, load.capacity, load.backlog_ms, load.slots, load.free_slots});
+        }
+    }
+    for(const auto &[name, service] : m_config.current()->services) {
+        m_spreader.update(service.pool, std::move(pools[service.pool]));
+    }
+}
+
+host_id control_role::choose_host(const pool_id &pool, double expected_ms, const host_id &avoid) {
+    const std::lock_guard lock{m_mutex};
+    return m_spreader.choose(pool, expected_ms, avoid);
+}
+
+duration control_role::expected_wait(const pool_id &pool) const {
+    const std::lock_guard lock{m_mutex};
+    return m_spreader.expected_wait(pool);
+}
+
+route control_role::find_owner(const submission::parsed_id &id) const {
+    const std::lock_guard lock{m_mutex};
+    const auto minted = id.kind == submission::id_kind::host_minted;
+    const auto &host = minted ? id.host : m_map.owner(id.domain, id.slice).host;
+    if(host == m_options.host) {
+        return {host, minted && id.issuer != m_options.process};
+    }
+    const auto *peer = m_peers.find(host);
+    const auto lost = minted && peer != nullptr && raw(peer->process) > raw(id.issuer);
+    return {m_peers.alive(host) ? host : host_id{}, lost};
+}
+
+std::vector<host_id> control_role::domain_others() const {
+    std::vector<host_id> others;
+    for(const auto &[host, joined] : m_map.members(m_options.domain)) {
+        if(host != m_options.host) {
+            others.push_back(host);
+        }
+    }
+    return others;
+}
+
+bool control_role::lease_valid(time_point now) const {
+    return m_lease.valid(domain_others(), now);
+}
+
+bool control_role::may_admit(partition slice, time_point now) const {
+    const std::lock_guard lock{m_mutex};
+    return m_keeper.state(slice) == ownership::service_state::serving && lease_valid(now);
+}
+
+bool control_role::may_start(partition slice, time_point now) const {
+    const std::lock_guard lock{m_mutex};
+    const auto state = m_keeper.state(slice);
+    const auto held = state == ownership::service_state::serving || state == ownership::service_state::transferring;
+    return held && lease_valid(now);
+}
+
+bool control_role::has_gap(partition slice, time_point now) const {
+    const std::lock_guard lock{m_mutex};
+    return m_keeper.has_gap(slice, now);
+}
+
+epoch control_role::epoch_of(partition slice) const {
+    const std::lock_guard lock{m_mutex};
+    return m_map.owner(m_options.domain, slice).since;
+}
+
+std::optional<host_id> control_role::witness() const {
+    const std::lock_guard lock{m_mutex};
+    for(const auto &[host, joined] : m_map.members(m_options.domain)) {
+        const auto *peer = m_peers.find(host);
+        if(host != m_options.host && peer != nullptr && peer->alive && peer->process == joined.process) {
+            return host;
+        }
+    }
+    return std::nullopt;
+}
+
+std::vector<placement::target_info> control_role::own_targets() const {
+    const std::lock_guard lock{m_mutex};
+    std::vector<placement::target_info> targets;
+    if(m_draining) {
+        return targets;
+    }
+    for(const auto &listed : m_hosts) {
+        if(!listed.is_target || listed.leaving || listed.domain != m_options.domain) {
+            continue;
+        }
+        const auto key = hash64(listed.id);
+        const auto own = rendezvous_score(m_options.host.str(), m_options.weight, key);
+        const auto taken = std::any_of(m_peers.all().begin(), m_peers.all().end(), [&](const auto &entry) {
+            const auto &peer = entry.second;
+            return peer.alive && !peer.draining && peer.domain == m_options.domain &&
+                   rendezvous_score(peer.host.str(), std::max(peer.weight, 0.01), key) > own;
+        });
+        if(!taken) {
+            targets.push_back({target_id{listed.id}, listed.pool, listed.address, listed.slots});
+        }
+    }
+    return targets;
+}
+
+bool control_role::pool_exists(const pool_id &pool) const {
+    const std::lock_guard lock{m_mutex};
+    return std::any_of(m_hosts.begin(), m_hosts.end(), [&](const auto &listed) { return listed.is_target && listed.pool == pool; });
+}
+
+std::shared_ptr<const config::policy> control_role::policy() const {
+    const std::lock_guard lock{m_mutex};
+    return m_config.current();
+}
+
+bool control_role::configured() const {
+    const std::lock_guard lock{m_mutex};
+    return m_config.complete() && !m_config.current()->services.empty();
+}
+
+log_offset control_role::next_offset(port::log_stream stream) const {
+    const std::lock_guard lock{m_mutex};
+    return stream == port::log_stream::config ? m_config.next_offset() : m_map.next_offset();
+}
+
+void control_role::recalled(const host_id &peer, epoch claimed) {
+    const std::lock_guard lock{m_mutex};
+    m_keeper.recalled(peer, claimed);
+}
+
+void control_role::journal_read(bool complete) {
+    const std::lock_guard lock{m_mutex};
+    m_keeper.journal_read(complete);
+}
+
+void control_role::received_table(const std::vector<partition> &slices, const host_id &from, incarnation process) {
+    const std::lock_guard lock{m_mutex};
+    m_keeper.received_table(slices, from, process);
+}
+
+std::optional<wire::ownership_record> control_role::transfer_record(const ownership::transfer_plan &plan) const {
+    const std::lock_guard lock{m_mutex};
+    const auto pending = std::any_of(plan.slices.begin(), plan.slices.end(),
+                                     [&](partition slice) { return m_keeper.state(slice) == ownership::service_state::transferring; });
+    return pending ? std::optional{m_keeper.transfer_record(plan, m_map)} : std::nullopt;
+}
+
+void control_role::abandon_transfer() {
+    const std::lock_guard lock{m_mutex};
+    m_keeper.abandon_transfer();
+}
+
+void control_role::drain() {
+    const std::lock_guard lock{m_mutex};
+    m_draining = true;
+    m_keeper.drain();
+}
+
+bool control_role::transfer_pending() const {
+    const std::lock_guard lock{m_mutex};
+    const auto successor = std::any_of(m_peers.all().begin(), m_peers.all().end(), [&](const auto &entry) {
+        return entry.second.alive && !entry.second.draining && entry.second.domain == m_options.domain;
+    });
+    return successor && m_keeper.holds_any();
+}
+
+wire::ownership_record control_role::leave_record() const {
+    const std::lock_guard lock{m_mutex};
+    return m_keeper.leave_record();
+}
+
+host_status control_role::status(time_point now) const {
+    const std::lock_guard lock{m_mutex};
+    host_status result;
+    result.config_offset = static_cast<log_offset>(raw(m_config.next_offset()) - 1);
+    result.config_hash = m_config.hash();
+    result.config_complete = m_config.complete();
+    result.lease_valid = lease_valid(now);
+    for(std::uint32_t index = 0; index < submission::partition_count; ++index) {
+        const auto state = m_keeper.state(static_cast<partition>(index));
+        result.partitions_serving += state == ownership::service_state::serving ? 1U : 0U;
+        result.partitions_waiting += state == ownership::service_state::waiting ? 1U : 0U;
+    }
+    for(const auto &[host, peer] : m_peers.all()) {
+        result.peers.push_back(peer);
+    }
+    return result;
+}
+
+std::vector<config::audit_entry> control_role::history() const {
+    const std::lock_guard lock{m_mutex};
+    return {m_config.history().begin(), m_config.history().end()};
+}
+
+std::map<config::item_key, config::versioned_item> control_role::items() const {
+    const std::lock_guard lock{m_mutex};
+    return m_config.items();
+}
+
+} // namespace heathermoor::host
--- /dev/null
+++ b/src/heathermoor/host/dispatch_role.cpp
@@ -0,0 +1,143 @@
+#include "heathermoor/host/dispatch_role.hpp"
+
+#include <map>
+
+namespace heathermoor::host {
+
+namespace internal {
+
+[[nodiscard]] bool is_stale(const wire::envelope &message, const settings &options, time_point now) {
+    if(message.from() == options.host.str()) {
+        return false;
+    }
+    const time_point echo{duration{message.echo_us()}};
+    return message.echo_us() == 0 || now - echo > options.message_age;
+}
+
+[[nodiscard]] placement::job_order to_order(const wire::envelope &message, time_point now) {
+    const auto &in = message.place();
+    placement::job_order order;
+    order.origin = {host_id{message.from()}, static_cast<incarnation>(message.incarnation()), static_cast<job_handle>(in.job())};
+    order.customer = customer_id{in.customer()};
+    order.service = service_id{in.service()};
+    order.submission = submission_id{in.id()};
+    order.owner_epoch = static_cast<epoch>(in.epoch());
+    order.deadline = now + milliseconds{in.deadline_ms()};
+    for(const auto &task : in.tasks()) {
+        order.tasks.push_back({task.index(), task.attempt(), request_name{task.request()}, milliseconds{task.size_hint_ms()}, task.body()});
+    }
+    return order;
+}
+
+} // namespace internal
+
+dispatch_role::dispatch_role(const settings &options, port::target_port &targets, messenger &out)
+    : m_options{options}, m_targets{targets}, m_out{out}, m_dispatcher{options.dispatch} {}
+
+void dispatch_role::carry_out(placement::dispatch_effects effects) {
+    for(auto &start : effects.starts) {
+        m_targets.start(std::move(start));
+    }
+    for(auto &stop : effects.stops) {
+        m_targets.stop(std::move(stop));
+    }
+    std::map<placement::task_origin, wire::envelope> messages;
+    for(auto &report : effects.reports) {
+        auto &placed = *messages[report.origin].mutable_placed();
+        placed.set_job(raw(report.origin.job));
+        auto *out = placed.add_results();
+        out->set_index(report.result.index);
+        out->set_attempt(report.result.attempt);
+        out->set_state(static_cast<std::uint32_t>(report.result.report));
+        out->set_code(static_cast<std::uint32_t>(report.result.code));
+        out->set_body(std::move(report.result.body));
+    }
+    for(auto &[origin, message] : messages) {
+        message.set_to_incarnation(raw(origin.process));
+        m_out.send(origin.owner, std::move(message));
+    }
+}
+
+void dispatch_role::place(const wire::envelope &message, time_point now) {
+    auto order = internal::to_order(message, now);
+    placement::dispatch_effects effects;
+    if(internal::is_stale(message, m_options, now)) {
+        for(const auto &task : order.tasks) {
+            effects.reports.push_back(
+                {order.origin, {task.index, task.attempt, submission::task_report::not_started, errc::stale_message, {}}});
+        }
+    } else {
+        const std::lock_guard lock{m_mutex};
+        m_dispatcher.place(std::move(order), now, effects);
+    }
+    carry_out(std::move(effects));
+}
+
+void dispatch_role::cancel(const wire::envelope &message, time_point now) {
+    placement::dispatch_effects effects;
+    {
+        const std::lock_guard lock{m_mutex};
+        m_dispatcher.cancel(
+            {host_id{message.from()}, static_cast<incarnation>(message.incarnation()), static_cast<job_handle>(message.cancel().job())},
+            now, effects);
+    }
+    carry_out(std::move(effects));
+}
+
+void dispatch_role::answered(placement::target_answer answer, time_point now) {
+    placement::dispatch_effects effects;
+    {
+        const std::lock_guard lock{m_mutex};
+        m_dispatcher.answered(std::move(answer), now, effects);
+    }
+    carry_out(std::move(effects));
+}
+
+void dispatch_role::owner_lost(const host_id &owner, incarnation process) {
+    const std::lock_guard lock{m_mutex};
+    m_dispatcher.owner_lost(owner, process);
+}
+
+void dispatch_role::set_targets(const std::vector<placement::target_info> &targets, time_point now) {
+    placement::dispatch_effects effects;
+    {
+        const std::lock_guard lock{m_mutex};
+        m_dispatcher.set_targets(targets, now, effects);
+    }
+    carry_out(std::move(effects));
+}
+
+void dispatch_role::set_policy(const config::policy &current) {
+    const std::lock_guard lock{m_mutex};
+    m_dispatcher.set_policy(current);
+}
+
+void dispatch_role::drain(time_point now) {
+    placement::dispatch_effects effects;
+    {
+        const std::lock_guard lock{m_mutex};
+        m_dispatcher.decline_waiting(now, effects);
+    }
+    carry_out(std::move(effects));
+}
+
+void dispatch_role::tick(time_point now) {
+    placement::dispatch_effects effects;
+    {
+        const std::lock_guard lock{m_mutex};
+        m_dispatcher.tick(now, effects);
+    }
+    carry_out(std::move(effects));
+}
+
+std::map<pool_id, placement::pool_load> dispatch_role::load() const {
+    const std::lock_guard lock{m_mutex};
+    return m_dispatcher.load();
+}
+
+std::size_t dispatch_role::active() const {
+    const std::lock_guard lock{m_mutex};
+    return m_dispatcher.active();
+}
+
+} // namespace heathermoor::host
--- /dev/null
+++ b/src/heathermoor/membership/fwd.hpp
@@ -0,0 +1,8 @@
+#pragma once
+
+namespace heathermoor::membership {
+
+struct peer;
+class peer_table;
+
+} // namespace heathermoor::membership
--- /dev/null
+++ b/src/heathermoor/placement/run_time_model.cpp
@@ -0,0 +1,51 @@
+#include "heathermoor/placement/run_time_model.hpp"
+
+#include <algorithm>
+#include <bit>
+
+namespace heathermoor::placement {
+
+namespace internal {
+
+constexpr milliseconds default_run_time{200};
+constexpr std::uint32_t trusted_samples = 3;
+constexpr double least_gain = 0.05;
+constexpr double clip_factor = 4.0;
+constexpr std::size_t max_classes = 65'536;
+
+} // namespace internal
+
+run_class run_time_model::classify(std::uint64_t request, milliseconds size_hint) noexcept {
+    const auto magnitude =
+        static_cast<std::uint64_t>(std::bit_width(static_cast<std::uint64_t>(std::max<std::int64_t>(size_hint.count(), 0))));
+    return static_cast<run_class>(request * 64U + magnitude);
+}
+
+duration run_time_model::estimate(run_class kind, milliseconds size_hint) const {
+    const duration prior = size_hint > milliseconds{0} ? size_hint : internal::default_run_time;
+    const auto found = m_classes.find(static_cast<std::uint64_t>(kind));
+    if(found == m_classes.end() || found->second.samples == 0) {
+        return prior;
+    }
+    const auto learned = from_ms(found->second.mean_ms);
+    if(found->second.samples >= internal::trusted_samples) {
+        return learned;
+    }
+    return (prior + learned * 3) / 4;
+}
+
+void run_time_model::observe(run_class kind, duration observed, double speed) {
+    if(m_classes.size() >= internal::max_classes) {
+        m_classes.clear();
+    }
+    auto &entry = m_classes[static_cast<std::uint64_t>(kind)];
+    auto normalised = to_ms(observed) * speed;
+    if(entry.samples >= internal::trusted_samples) {
+        normalised = std::min(normalised, entry.mean_ms * internal::clip_factor);
+    }
+    ++entry.samples;
+    const auto gain = std::max(1.0 / entry.samples, internal::least_gain);
+    entry.mean_ms += gain * (normalised - entry.mean_ms);
+}
+
+} // namespace heathermoor::placement
--- /dev/null
+++ b/src/heathermoor/placement/spreader.cpp
@@ -0,0 +1,57 @@
+#include "heathermoor/placement/spreader.hpp"
+
+#include <algorithm>
+
+namespace heathermoor::placement {
+
+namespace internal {
+
+[[nodiscard]] double wait_ms(const share_load &load) noexcept {
+    const auto queue_ms = load.backlog_ms / std::max(load.capacity, 0.01);
+    return load.free_slots > 0 ? 0.0 : queue_ms;
+}
+
+[[nodiscard]] double rank(const share_load &load) noexcept {
+    const auto penalty = load.own_domain ? 0.0 : spreader::domain_penalty_ms;
+    const auto used = 1.0 - static_cast<double>(load.free_slots) / std::max(load.slots, 1U);
+    return wait_ms(load) + penalty + used;
+}
+
+} // namespace internal
+
+void spreader::update(const pool_id &pool, std::vector<share_load> loads) {
+    m_pools[pool] = std::move(loads);
+}
+
+host_id spreader::choose(const pool_id &pool, double expected_ms, const host_id &avoid) {
+    const auto found = m_pools.find(pool);
+    if(found == m_pools.end()) {
+        return {};
+    }
+    share_load *best = nullptr;
+    for(auto &load : found->second) {
+        const auto better = best == nullptr || internal::rank(load) < internal::rank(*best);
+        if(load.host != avoid && load.slots > 0 && better) {
+            best = &load;
+        }
+    }
+    if(best == nullptr) {
+        return {};
+    }
+    best->backlog_ms += best->free_slots > 0 ? 0.0 : expected_ms;
+    best->free_slots -= best->free_slots > 0 ? 1U : 0U;
+    return best->host;
+}
+
+duration spreader::expected_wait(const pool_id &pool) const {
+    const auto found = m_pools.find(pool);
+    auto least = duration::max();
+    if(found != m_pools.end()) {
+        for(const auto &load : found->second) {
+            least = std::min(least, from_ms(internal::wait_ms(load)));
+        }
+    }
+    return least;
+}
+
+} // namespace heathermoor::placement
--- /dev/null
+++ b/tests/main.cpp
@@ -0,0 +1,2 @@
+#define CATCH_CONFIG_MAIN
+#include <catch2/catch.hpp>
