--- a/daemon/ctl.cpp
+++ b/daemon/ctl.cpp
@@ -416,14 +416,13 @@
 }
 
 int cancel(const arguments &in) {
-    return call(in, [&](auto &client, const auto &headers) {
-        return client.Delete(("/v1/jobs/" + in.customer + "/" + in.submission).c_str(), headers);
-    });
+    return call(in,
+                [&](auto &client, const auto &headers) { return client.Delete("/v1/jobs/" + in.customer + "/" + in.submission, headers); });
 }
 
 int job(const arguments &in) {
     return call(in, [&](auto &client, const auto &headers) {
-        return client.Get((fmt::format("/v1/jobs/{}/{}?wait_ms={}", in.customer, in.submission, in.wait_ms)).c_str(), headers);
+        return client.Get(fmt::format("/v1/jobs/{}/{}?wait_ms={}", in.customer, in.submission, in.wait_ms), headers);
     });
 }
 
--- a/scripts/demo.sh
+++ b/scripts/demo.sh
@@ -35,6 +35,7 @@
   "$bin/heathermoor-entry" --host "entry-$index" --failure-domain "$domain" --failure-domains couva,chaguanas \
     --platform "$platform" --http-port $((base + index * 3)) --admin-port $((base + index * 3 + 1)) \
     --peer-address "tcp://127.0.0.1:$((base + index * 3 + 2))" 2>"$logs/entry$index.log" & pids+=($!)
+  disown $!
   hosts+=("127.0.0.1:$((base + index * 3))")
 }
 start_host 1 couva
--- a/src/heathermoor/host/owner_role.cpp
+++ b/src/heathermoor/host/owner_role.cpp
@@ -351,7 +351,7 @@
         submission::owner_effects effects;
         {
             const std::lock_guard lock{part.mutex};
-            part.table.record_failed(job, now, effects);
+            part.table.record_failed(job, effects);
         }
         carry_out(part, std::move(effects), now);
     }
--- a/src/heathermoor/submission/owner_table.cpp
+++ b/src/heathermoor/submission/owner_table.cpp
@@ -8,6 +8,7 @@
 
 constexpr std::size_t entry_overhead = 512;
 constexpr std::size_t task_overhead = 128;
+constexpr milliseconds record_retry{500};
 
 [[nodiscard]] std::size_t size_of(const job_spec &spec) noexcept {
     std::size_t bytes = entry_overhead + 2 * (spec.id.str().size() + spec.customer.str().size());
@@ -134,18 +135,35 @@
     job.unsettled = job.tasks.size();
     ++m_running;
     m_jobs.emplace(raw(job.handle), &job);
-    if(refusal != errc::ok) {
-        finish(job, {outcome_kind::not_run, refusal, {}, conditions.retry_after}, now, effects);
-        return;
-    }
+    job.refusal = refusal;
+    job.retry_after = conditions.retry_after;
     add_timer(job, deadline);
     if(conditions.record == record_rule::none) {
-        start(job, effects);
+        proceed(job, now, effects);
     } else {
         effects.records.push_back({job.handle, key, job.place.slice});
     }
 }
 
+void owner_table::proceed(entry &job, time_point now, owner_effects &effects) {
+    if(job.refusal != errc::ok) {
+        finish(job, {outcome_kind::not_run, job.refusal, {}, job.retry_after}, now, effects);
+    } else {
+        start(job, effects);
+    }
+}
+
+void owner_table::forget(entry &job, errc code, owner_effects &effects) {
+    for(auto &to : job.waiters) {
+        effects.answers.push_back({std::move(to), internal::unknown_outcome(code, internal::record_retry), false});
+    }
+    m_timers.erase({job.decide_by, raw(job.handle)});
+    m_jobs.erase(raw(job.handle));
+    m_bytes -= job.bytes;
+    --m_running;
+    m_entries.erase(key_text(job.spec.customer, job.spec.id));
+}
+
 void owner_table::start(entry &job, owner_effects &effects) {
     job.state = job_state::running;
     for(std::uint32_t index = 0; index < job.tasks.size(); ++index) {
@@ -158,17 +176,17 @@
     if(job == nullptr || job->state != job_state::recording) {
         return;
     }
-    if(!allowed) {
-        finish(*job, {outcome_kind::not_run, errc::owner_unavailable, {}, milliseconds{1000}}, now, effects);
+    if(allowed) {
+        proceed(*job, now, effects);
     } else {
-        start(*job, effects);
+        forget(*job, errc::owner_unavailable, effects);
     }
 }
 
-void owner_table::record_failed(job_handle handle, time_point now, owner_effects &effects) {
+void owner_table::record_failed(job_handle handle, owner_effects &effects) {
     auto *job = find_job(handle);
     if(job != nullptr && job->state == job_state::recording) {
-        finish(*job, {outcome_kind::not_run, errc::record_unavailable, {}, milliseconds{1000}}, now, effects);
+        forget(*job, errc::record_unavailable, effects);
     }
 }
 
@@ -339,7 +357,7 @@
     }
     job->waiters.push_back(to);
     if(job->state == job_state::recording) {
-        finish(*job, {outcome_kind::not_run, errc::cancelled, {}, {}}, now, effects);
+        job->refusal = errc::cancelled;
     } else if(job->state == job_state::running) {
         fail(*job, errc::cancelled, now, effects);
     }
@@ -373,7 +391,7 @@
         if(job->state == job_state::ending) {
             finish(*job, summarise(*job), now, effects);
         } else if(job->state == job_state::recording) {
-            finish(*job, {outcome_kind::not_run, errc::record_unavailable, {}, milliseconds{500}}, now, effects);
+            forget(*job, errc::record_unavailable, effects);
         } else {
             fail(*job, errc::deadline_exceeded, now, effects);
         }
--- a/src/heathermoor/submission/owner_table.hpp
+++ b/src/heathermoor/submission/owner_table.hpp
@@ -183,18 +183,23 @@
     /// @param effects What is to be done.
     void submit(job_spec spec, const admission &conditions, const waiter &to, time_point now, owner_effects &effects);
 
-    /// @brief Starts a job whose id was recorded.
+    /// @brief Starts a job whose id was recorded, or refuses it as not run.
+    ///
+    /// A refusal is recorded like an admission, since the next owner must not
+    /// run an id of which this one said that it will not run.
     /// @param job Job.
     /// @param allowed Whether this host still owns the id.
     /// @param now Current time.
     /// @param effects What is to be done.
     void recorded(job_handle job, bool allowed, time_point now, owner_effects &effects);
 
-    /// @brief Refuses a job whose id could not be recorded.
+    /// @brief Forgets a job whose id could not be recorded.
+    ///
+    /// Its callers learn that the outcome is unknown: this owner started
+    /// nothing, but the next one may run the id.
     /// @param job Job.
-    /// @param now Current time.
     /// @param effects What is to be done.
-    void record_failed(job_handle job, time_point now, owner_effects &effects);
+    void record_failed(job_handle job, owner_effects &effects);
 
     /// @brief Notes the dispatcher host of a task.
     /// @param request Task.
@@ -317,6 +322,9 @@
         time_point decide_by;
         time_point changed;
         errc first_error{errc::ok};
+        /// Set if the job is refused once its id is recorded.
+        errc refusal{errc::ok};
+        milliseconds retry_after{};
         std::vector<task_entry> tasks;
         size_type unsettled{};
         bool exported{};
@@ -336,6 +344,8 @@
     void settle(entry &job, time_point now, owner_effects &effects);
     void finish(entry &job, outcome result, time_point now, owner_effects &effects);
     void add_timer(entry &job, time_point at);
+    void proceed(entry &job, time_point now, owner_effects &effects);
+    void forget(entry &job, errc code, owner_effects &effects);
     void bar(std::uint64_t key, errc code, time_point now);
     entry &add_entry(job_spec spec, parsed_id place, std::uint64_t key, time_point now);
     [[nodiscard]] outcome summarise(const entry &job) const;
