--- a/daemon/ctl.cpp
+++ b/daemon/ctl.cpp
@@ -62,13 +62,13 @@
 /// Reads declaration files; folders stand for the YAML files in them.
 [[nodiscard]] std::vector<config::declaration> read_files(const arguments &in, std::vector<config::diagnostic> &diagnostics) {
     std::vector<std::string> paths;
-    for(const auto &given : in.files) {
+    for(const auto &given: in.files) {
         std::error_code error;
         if(!std::filesystem::is_directory(given, error)) {
             paths.push_back(given);
             continue;
         }
-        for(const auto &entry : std::filesystem::directory_iterator{given}) {
+        for(const auto &entry: std::filesystem::directory_iterator{given}) {
             if(entry.path().extension() == ".yaml") {
                 paths.push_back(entry.path().string());
             }
@@ -76,7 +76,7 @@
     }
     std::sort(paths.begin(), paths.end());
     std::vector<config::declaration> all;
-    for(const auto &path : paths) {
+    for(const auto &path: paths) {
         std::ifstream stream{path};
         std::stringstream text;
         text << stream.rdbuf();
@@ -84,7 +84,7 @@
             diagnostics.push_back({config::fault::syntax, path, 1, 1, "", "a file that can be read"});
             continue;
         }
-        for(auto &item : config::read_declarations(path, text.str(), diagnostics)) {
+        for(auto &item: config::read_declarations(path, text.str(), diagnostics)) {
             all.push_back(std::move(item));
         }
     }
@@ -94,7 +94,7 @@
 [[nodiscard]] std::map<config::item_key, config::declaration> index_items(const std::vector<config::declaration> &items,
                                                                           std::vector<config::diagnostic> &diagnostics) {
     std::map<config::item_key, config::declaration> result;
-    for(const auto &item : items) {
+    for(const auto &item: items) {
         if(!result.emplace(item.key, item).second) {
             diagnostics.push_back({config::fault::duplicate_item, item.file, item.first_line + 1, 1, item.key.name, "each item once"});
         }
@@ -105,7 +105,7 @@
 int print_diagnostics(const arguments &in, const std::vector<config::diagnostic> &diagnostics) {
     if(as_json(in)) {
         auto list = json::array();
-        for(const auto &entry : diagnostics) {
+        for(const auto &entry: diagnostics) {
             list.push_back({{"fault", config::fault_name(entry.what)},
                             {"file", entry.file},
                             {"line", entry.line},
@@ -115,7 +115,7 @@
         }
         fmt::print("{}\n", json{{"valid", diagnostics.empty()}, {"errors", list}}.dump(2));
     } else {
-        for(const auto &entry : diagnostics) {
+        for(const auto &entry: diagnostics) {
             fmt::print("{}\n", config::to_string(entry));
         }
     }
@@ -143,7 +143,7 @@
             return error;
         }
         state.truncated(batch.first);
-        for(const auto &record : batch.records) {
+        for(const auto &record: batch.records) {
             state.apply(static_cast<log_offset>(record.offset()), record.data());
         }
         if(raw(state.next_offset()) >= raw(batch.tail) || batch.records.empty()) {
@@ -167,7 +167,7 @@
     change.set_reason(in.reason);
     change.set_schema(config::schema_version);
     change.set_at_ms(std::chrono::duration_cast<milliseconds>(std::chrono::system_clock::now().time_since_epoch()).count());
-    for(const auto &[key, item] : wanted) {
+    for(const auto &[key, item]: wanted) {
         const auto found = state.items().find(key);
         if(found != state.items().end() && found->second.source.text == item.text) {
             continue;
@@ -178,7 +178,7 @@
         out->set_document(item.text);
         out->set_base(found == state.items().end() ? 0 : found->second.version);
     }
-    for(const auto &[key, item] : state.items()) {
+    for(const auto &[key, item]: state.items()) {
         if(in.prune && !wanted.contains(key)) {
             auto *out = change.add_items();
             out->set_kind(key.kind);
@@ -192,7 +192,7 @@
 
 void print_plan(const arguments &in, const wire::config_change &change) {
     auto list = json::array();
-    for(const auto &item : change.items()) {
+    for(const auto &item: change.items()) {
         const auto *action = item.remove() ? "remove" : item.base() == 0 ? "add" : "change";
         list.push_back({{"action", action}, {"kind", item.kind()}, {"name", item.name()}, {"base", item.base()}});
         if(!as_json(in)) {
@@ -207,7 +207,7 @@
 }
 
 [[nodiscard]] const config::audit_entry *find_verdict(const config::config_state &state, const std::string &change_id) {
-    for(const auto &entry : state.history()) {
+    for(const auto &entry: state.history()) {
         if(entry.change_id == change_id) {
             return &entry;
         }
@@ -262,7 +262,7 @@
     }
     auto merged = wanted;
     if(!in.prune) {
-        for(const auto &[key, item] : state.items()) {
+        for(const auto &[key, item]: state.items()) {
             merged.emplace(key, item.source);
         }
     }
@@ -284,7 +284,7 @@
         return report_unavailable(error);
     }
     auto found = false;
-    for(const auto &[key, item] : state.items()) {
+    for(const auto &[key, item]: state.items()) {
         if(in.item.empty()) {
             fmt::print("{} {} version={}\n", key.kind, key.name, item.version);
             found = true;
@@ -302,9 +302,9 @@
         return report_unavailable(error);
     }
     auto list = json::array();
-    for(const auto &entry : state.history()) {
+    for(const auto &entry: state.history()) {
         std::string items;
-        for(const auto &key : entry.items) {
+        for(const auto &key: entry.items) {
             items += (items.empty() ? "" : ",") + key.kind + "/" + key.name;
         }
         list.push_back({{"offset", raw(entry.offset)},
@@ -336,7 +336,7 @@
         return report_unavailable(error);
     }
     before.truncated(batch.first);
-    for(const auto &record : batch.records) {
+    for(const auto &record: batch.records) {
         if(record.offset() <= in.offset) {
             before.apply(static_cast<log_offset>(record.offset()), record.data());
         }
@@ -349,7 +349,7 @@
         return report_unavailable(failure);
     }
     std::map<config::item_key, config::declaration> wanted;
-    for(const auto &[key, item] : before.items()) {
+    for(const auto &[key, item]: before.items()) {
         wanted.emplace(key, item.source);
     }
     in.prune = true;
@@ -365,7 +365,7 @@
 int status(const arguments &in) {
     auto code = exit_ok;
     auto list = json::array();
-    for(const auto &address : in.hosts) {
+    for(const auto &address: in.hosts) {
         httplib::Client client{"http://" + address};
         client.set_connection_timeout(seconds{1});
         const auto result = client.Get("/v1/status");
--- a/daemon/entry.cpp
+++ b/daemon/entry.cpp
@@ -108,7 +108,7 @@
     out.platform = in.platform;
     out.drain_limit = std::chrono::seconds{in.drain_s};
     auto known = false;
-    for(const auto &domain : in.domains) {
+    for(const auto &domain: in.domains) {
         out.host.domains.emplace_back(domain);
         known = known || domain == in.domain;
     }
@@ -117,7 +117,7 @@
                          in.domain, fmt::join(in.domains, ","));
         return false;
     }
-    for(const auto &peer : in.peers) {
+    for(const auto &peer: in.peers) {
         const auto split = peer.find('=');
         if(split == std::string::npos || split == 0 || split + 1 == peer.size()) {
             heathermoor::log(heathermoor::log_level::error, "settings", "Setting is not valid. flag=--peer given={} allowed=HOST=ADDRESS",
--- a/src/heathermoor/adapter/host_process.cpp
+++ b/src/heathermoor/adapter/host_process.cpp
@@ -75,7 +75,7 @@
         platform.emplace(options.platform, options.host.domain, clock);
         const port::port_set ports{*peers, *targets, *platform, clock};
         node.emplace(options.host, ports);
-        for(const auto &[host, address] : options.seeds) {
+        for(const auto &[host, address]: options.seeds) {
             node->control().add_seed(host, address);
         }
         api.emplace(options.api, *node);
@@ -115,7 +115,7 @@
         targets.reset();
         work.reset();
         context.stop();
-        for(auto &worker : workers) {
+        for(auto &worker: workers) {
             worker.join();
         }
     }
--- a/src/heathermoor/adapter/http_api.cpp
+++ b/src/heathermoor/adapter/http_api.cpp
@@ -178,7 +178,7 @@
             return;
         }
         internal::json ids = internal::json::array();
-        for(const auto &id : node.mint(count)) {
+        for(const auto &id: node.mint(count)) {
             ids.push_back(id.str());
         }
         internal::json out;
@@ -205,7 +205,7 @@
         page.gauge("submissions_known", "Submissions owned here, running or retained.", static_cast<double>(node.owner().size()));
         page.gauge("table_bytes", "Bytes held in the submission tables.", static_cast<double>(node.owner().bytes()));
         page.gauge("tasks_active", "Tasks that wait or run in this host's share.", static_cast<double>(node.dispatch().active()));
-        for(const auto &[pool, load] : node.dispatch().load()) {
+        for(const auto &[pool, load]: node.dispatch().load()) {
             page.gauge("pool_slots{pool=\"" + pool.str() + "\"}", "Slots of this host's share.", load.slots);
             page.gauge("pool_backlog_ms{pool=\"" + pool.str() + "\"}", "Expected run time that waits.", load.backlog_ms);
         }
@@ -228,7 +228,7 @@
         body["partitions_serving"] = status.partitions_serving;
         body["partitions_waiting"] = status.partitions_waiting;
         body["peers"] = internal::json::array();
-        for(const auto &peer : status.peers) {
+        for(const auto &peer: status.peers) {
             body["peers"].push_back({{"host", peer.host.str()},
                                      {"failure_domain", peer.domain.str()},
                                      {"alive", peer.alive},
--- a/src/heathermoor/adapter/http_targets.cpp
+++ b/src/heathermoor/adapter/http_targets.cpp
@@ -84,7 +84,7 @@
             m_stopped = true;
         }
         m_wake.notify_all();
-        for(auto &thread : m_threads) {
+        for(auto &thread: m_threads) {
             thread.join();
         }
     }
--- a/src/heathermoor/adapter/job_json.cpp
+++ b/src/heathermoor/adapter/job_json.cpp
@@ -17,7 +17,7 @@
 
 template <std::size_t Size>
 [[nodiscard]] const std::string *unknown_key(const json &object, const std::array<std::string_view, Size> &known) {
-    for(const auto &[key, value] : object.items()) {
+    for(const auto &[key, value]: object.items()) {
         if(std::find(known.begin(), known.end(), key) == known.end()) {
             static thread_local std::string found;
             found = key;
@@ -131,7 +131,7 @@
         internal::fail(job, errc::too_many_tasks, "tasks");
         return job;
     }
-    for(const auto &item : *tasks) {
+    for(const auto &item: *tasks) {
         internal::read_task(item, job);
     }
     job.spec.digest = host::job_digest(job.spec);
@@ -142,7 +142,7 @@
     const auto digest = sha256_hex(token);
     auto known_service = service.empty();
     auto known_customer = false;
-    for(const auto &[name, entry] : current.services) {
+    for(const auto &[name, entry]: current.services) {
         if(!service.empty() && name != service) {
             continue;
         }
@@ -173,7 +173,7 @@
         return;
     }
     auto deadline = job.spec.deadline > milliseconds{0} ? job.spec.deadline : service->second.default_deadline;
-    for(const auto &task : job.spec.tasks) {
+    for(const auto &task: job.spec.tasks) {
         if(!customer->second.requests.contains(task.request)) {
             internal::fail(job, errc::request_not_allowed, task.request.str());
         }
@@ -184,7 +184,7 @@
 std::string complete_body(const submission_id &id, const submission::outcome &result) {
     std::string text = R"({"submission_id":)" + internal::json(id.str()).dump() + R"(,"status":"complete","results":[)";
     auto first = true;
-    for(const auto &body : result.results) {
+    for(const auto &body: result.results) {
         text += first ? "" : ",";
         text += body;
         first = false;
--- a/src/heathermoor/adapter/platform_client.cpp
+++ b/src/heathermoor/adapter/platform_client.cpp
@@ -102,7 +102,7 @@
     }
     batch.first = static_cast<log_offset>(body.value("first", std::uint64_t{1}));
     batch.tail = static_cast<log_offset>(body.value("next", std::uint64_t{1}));
-    for(const auto &item : body["records"]) {
+    for(const auto &item: body["records"]) {
         wire::record record;
         record.set_offset(item.value("offset", std::uint64_t{0}));
         record.set_data(item.value("data", std::string{}));
@@ -123,7 +123,7 @@
     if(!body.is_object() || !body.contains("hosts")) {
         return hosts;
     }
-    for(const auto &item : body["hosts"]) {
+    for(const auto &item: body["hosts"]) {
         hosts.push_back(internal::to_host(item));
     }
     error.clear();
@@ -242,7 +242,7 @@
         m_state->stopped = true;
     }
     m_state->wake.notify_all();
-    for(auto &thread : m_state->threads) {
+    for(auto &thread: m_state->threads) {
         thread.join();
     }
     m_state->threads.clear();
--- a/src/heathermoor/config/config_state.cpp
+++ b/src/heathermoor/config/config_state.cpp
@@ -20,7 +20,7 @@
 
 [[nodiscard]] std::string digest(const std::map<item_key, versioned_item> &items) {
     std::uint64_t value{};
-    for(const auto &[key, item] : items) {
+    for(const auto &[key, item]: items) {
         value = hash64(fmt::format("{}/{}@{}\n{}", key.kind, key.name, item.version, item.source.text), value);
     }
     return fmt::format("{:016x}", value);
@@ -49,7 +49,7 @@
     if(m_change_ids.contains(change.change_id())) {
         return errc::config_duplicate_change;
     }
-    for(const auto &item : change.items()) {
+    for(const auto &item: change.items()) {
         const item_key key{item.kind(), item.name()};
         const auto found = items.find(key);
         const auto version = found == items.end() ? 0 : found->second.version;
@@ -64,7 +64,7 @@
     }
     std::vector<diagnostic> diagnostics;
     std::map<item_key, declaration> sources;
-    for(const auto &[key, item] : items) {
+    for(const auto &[key, item]: items) {
         const auto read = read_declarations(item.source.file, item.source.text, diagnostics);
         if(read.size() != 1 || read.front().key != key) {
             return errc::config_invalid;
@@ -79,7 +79,7 @@
 
 audit_entry config_state::apply_change(log_offset offset, const wire::config_change &change) {
     audit_entry entry{offset, change.change_id(), change.author(), change.reason(), change.at_ms(), {}, errc::ok};
-    for(const auto &item : change.items()) {
+    for(const auto &item: change.items()) {
         entry.items.push_back({item.kind(), item.name()});
     }
     auto items = m_items;
@@ -111,7 +111,7 @@
     }
     std::map<item_key, versioned_item> items;
     std::map<item_key, declaration> sources;
-    for(const auto &item : snapshot.items()) {
+    for(const auto &item: snapshot.items()) {
         const item_key key{item.kind(), item.name()};
         const auto source = internal::to_declaration(key, item.document());
         items[key] = {item.version(), source};
@@ -174,14 +174,14 @@
     auto &snapshot = *record.mutable_snapshot();
     snapshot.set_offset(raw(m_next) - 1);
     snapshot.set_hash(hash());
-    for(const auto &[key, item] : m_items) {
+    for(const auto &[key, item]: m_items) {
         auto *out = snapshot.add_items();
         out->set_kind(key.kind);
         out->set_name(key.name);
         out->set_version(item.version);
         out->set_document(item.source.text);
     }
-    for(const auto &id : m_change_order) {
+    for(const auto &id: m_change_order) {
         snapshot.add_change_ids(id);
     }
     return internal::to_json(record);
--- a/src/heathermoor/config/declaration.cpp
+++ b/src/heathermoor/config/declaration.cpp
@@ -94,7 +94,7 @@
             m_report->add(fault::wrong_type, m_node.Mark(), m_path, "a mapping");
             return;
         }
-        for(const auto &pair : m_node) {
+        for(const auto &pair: m_node) {
             if(!pair.first.IsScalar()) {
                 m_report->add(fault::wrong_type, pair.first.Mark(), m_path, "a scalar key");
                 continue;
@@ -109,7 +109,7 @@
     [[nodiscard]] std::string field(const std::string &name) const { return m_path.empty() ? name : m_path + "." + name; }
 
     void allow(const std::set<std::string> &names) const {
-        for(const auto &[name, value] : m_fields) {
+        for(const auto &[name, value]: m_fields) {
             if(!names.contains(name)) {
                 m_report->add(fault::unknown_field, value.Mark(), field(name), fmt::format("{}", fmt::join(names, ", ")));
             }
@@ -237,7 +237,7 @@
         given = field_reader{*node, "parameters", report}.fields();
     }
     if(const auto node = form.get("parameters", false)) {
-        for(const auto &[name, declared] : field_reader{*node, "parameters", template_report}.fields()) {
+        for(const auto &[name, declared]: field_reader{*node, "parameters", template_report}.fields()) {
             const field_reader declaration{declared, "parameters." + name, template_report};
             declaration.allow({"type", "min", "max", "default", "unit", "description"});
             const auto chosen = given.find(name);
@@ -253,7 +253,7 @@
             }
         }
     }
-    for(const auto &[name, value] : given) {
+    for(const auto &[name, value]: given) {
         if(!values.contains(name)) {
             report.add(fault::unknown_field, value.Mark(), "parameters." + name, "a parameter that the template declares");
         }
@@ -266,7 +266,7 @@
     if(!node) {
         return;
     }
-    for(const auto &[name, value] : field_reader{*node, "requests", report}.fields()) {
+    for(const auto &[name, value]: field_reader{*node, "requests", report}.fields()) {
         const field_reader fields{value, "requests." + name, report, &parameters};
         fields.allow({"never_repeat", "deadline_ms", "description"});
         service.requests[request_name{name}] = {fields.flag("never_repeat"),
@@ -286,7 +286,7 @@
     if(requests && !requests->IsSequence()) {
         report.add(fault::wrong_type, requests->Mark(), fields.field("requests"), "a list of requests");
     } else if(requests) {
-        for(const auto &item : *requests) {
+        for(const auto &item: *requests) {
             const request_name request{item.IsScalar() ? item.Scalar() : std::string{}};
             if(!service.requests.contains(request)) {
                 report.add(fault::unknown_reference, item.Mark(), fields.field("requests"), "a request of the template");
@@ -335,7 +335,7 @@
     service.long_slots_percent = static_cast<std::uint32_t>(form.integer("long_slots_percent", 60, 1, 100));
     read_requests(form, parameters, template_report, service);
     if(const auto customers = fields.get("customers", true)) {
-        for(const auto &[name, value] : field_reader{*customers, "customers", report}.fields()) {
+        for(const auto &[name, value]: field_reader{*customers, "customers", report}.fields()) {
             read_customer(name, value, parameters, report, service);
         }
     }
@@ -400,7 +400,7 @@
 
 policy resolve(const std::map<item_key, declaration> &items, std::vector<diagnostic> &diagnostics) {
     policy result;
-    for(const auto &[key, source] : items) {
+    for(const auto &[key, source]: items) {
         if(key.kind == "service") {
             if(auto service = internal::resolve_service(source, items, diagnostics)) {
                 const auto name = service->name;
--- a/src/heathermoor/core/hash.cpp
+++ b/src/heathermoor/core/hash.cpp
@@ -15,7 +15,7 @@
     std::array<unsigned char, SHA256_DIGEST_LENGTH> digest{};
     SHA256(reinterpret_cast<const unsigned char *>(text.data()), text.size(), digest.data());
     std::string hex;
-    for(const auto byte : digest) {
+    for(const auto byte: digest) {
         hex += fmt::format("{:02x}", byte);
     }
     return hex;
--- a/src/heathermoor/host/control_role.cpp
+++ b/src/heathermoor/host/control_role.cpp
@@ -1,6 +1,7 @@
 #include "heathermoor/host/control_role.hpp"
 
 #include "heathermoor/core/rendezvous.hpp"
+#include "heathermoor/host/convert.hpp"
 #include <algorithm>
 #include <google/protobuf/util/json_util.h>
 
@@ -68,9 +69,8 @@
         m_seeds[from] = beat.peer_address();
     }
     peer->load.clear();
-    for(const auto &load : beat.load()) {
-        peer->load.push_back(
-            {pool_id{load.pool()}, load.capacity(), load.backlog_ms(), load.short_backlog_ms(), load.free_slots(), load.slots()});
+    for(const auto &load: beat.load()) {
+        peer->load.push_back(from_wire(load));
     }
     const auto asked = internal::to_time(message.echo_us());
     if(message.to_incarnation() != raw(m_options.process) || asked == time_point{} || asked > now) {
@@ -144,7 +144,7 @@
     const std::lock_guard lock{m_mutex};
     if(batch.stream == port::log_stream::config) {
         m_config.truncated(batch.first);
-        for(const auto &record : batch.records) {
+        for(const auto &record: batch.records) {
             apply_config(static_cast<log_offset>(record.offset()), record.data(), effects);
         }
         const auto caught_up = raw(m_config.next_offset()) >= raw(batch.tail);
@@ -158,7 +158,7 @@
         }
         return;
     }
-    for(const auto &record : batch.records) {
+    for(const auto &record: batch.records) {
         apply_ownership(record, now, effects);
     }
     if(raw(m_map.next_offset()) >= raw(batch.tail)) {
@@ -177,7 +177,7 @@
 
 void control_role::relayed(const wire::relay &message, time_point /*now*/, control_effects &effects) {
     const std::lock_guard lock{m_mutex};
-    for(const auto &record : message.records()) {
+    for(const auto &record: message.records()) {
         if(record.offset() > raw(m_config.next_offset())) {
             m_config.truncated(static_cast<log_offset>(record.offset()));
         }
@@ -200,7 +200,7 @@
         record->set_data(m_config.snapshot());
         return message;
     }
-    for(const auto &record : m_recent_config) {
+    for(const auto &record: m_recent_config) {
         if(record.offset() > peer->config_offset && message.records_size() < static_cast<int>(internal::max_relayed_records)) {
             *message.add_records() = record;
         }
@@ -212,7 +212,7 @@
     const std::lock_guard lock{m_mutex};
     m_hosts = std::move(hosts);
     std::set<host_id> live;
-    for(const auto &listed : m_hosts) {
+    for(const auto &listed: m_hosts) {
         if(!listed.is_target) {
             live.insert(host_id{listed.id});
         }
@@ -223,7 +223,7 @@
 
 void control_role::tick(time_point now, control_effects &effects) {
     const std::lock_guard lock{m_mutex};
-    for(auto &lost : m_peers.tick(now)) {
+    for(auto &lost: m_peers.tick(now)) {
         effects.lost.push_back(std::move(lost));
         effects.targets_changed = true;
     }
@@ -238,14 +238,8 @@
 wire::heartbeat control_role::make_heartbeat(const host_id &to, const std::map<pool_id, placement::pool_load> &load, time_point now) {
     const std::lock_guard lock{m_mutex};
     wire::heartbeat beat;
-    for(const auto &[pool, summary] : load) {
-        auto *out = beat.add_load();
-        out->set_pool(pool.str());
-        out->set_capacity(summary.capacity);
-        out->set_backlog_ms(summary.backlog_ms);
-        out->set_short_backlog_ms(summary.short_backlog_ms);
-        out->set_free_slots(summary.free_slots);
-        out->set_slots(summary.slots);
+    for(const auto &[pool, summary]: load) {
+        *beat.add_load() = to_wire(pool, summary);
     }
     beat.set_draining(m_draining);
     beat.set_config_offset(m_config.complete() ? raw(m_config.next_offset()) - 1 : 0);
@@ -265,11 +259,11 @@
 std::vector<host_id> control_role::peers() const {
     const std::lock_guard lock{m_mutex};
     std::set<host_id> names;
-    for(const auto &[host, address] : m_seeds) {
+    for(const auto &[host, address]: m_seeds) {
         names.insert(host);
     }
-    for(const auto &domain : m_map.domains()) {
-        for(const auto &[host, joined] : m_map.members(domain)) {
+    for(const auto &domain: m_map.domains()) {
+        for(const auto &[host, joined]: m_map.members(domain)) {
             names.insert(host);
         }
     }
@@ -280,8 +274,8 @@
 std::vector<std::pair<host_id, std::string>> control_role::addresses() const {
     const std::lock_guard lock{m_mutex};
     std::map<host_id, std::string> found = m_seeds;
-    for(const auto &domain : m_map.domains()) {
-        for(const auto &[host, joined] : m_map.members(domain)) {
+    for(const auto &domain: m_map.domains()) {
+        for(const auto &[host, joined]: m_map.members(domain)) {
             if(!joined.peer_address.empty()) {
                 found[host] = joined.peer_address;
             }
@@ -299,23 +293,44 @@
 void control_role::update_loads(const std::map<pool_id, placement::pool_load> &own) {
     const std::lock_guard lock{m_mutex};
     std::map<pool_id, std::vector<placement::share_load>> pools;
-    for(const auto &[pool, load] : own) {
+    for(const auto &[pool, load]: own) {
         pools[pool].push_back({m_options.host, true, load.capacity, load.backlog_ms, load.slots, load.free_slots});
     }
-    for(const auto &[host, peer] : m_peers.all()) {
+    for(const auto &[host, peer]: m_peers.all()) {
         if(!peer.alive || peer.draining) {
             continue;
         }
-        for(const auto &load : peer.load) {
+        for(const auto &load: peer.load) {
             const auto near = peer.domain == m_options.domain;
             pools[load.pool].push_back({host, near, load.capacity, load.backlog_ms, load.slots, load.free_slots});
         }
     }
-    for(const auto &[name, service] : m_config.current()->services) {
+    for(const auto &[name, service]: m_config.current()->services) {
         m_spreader.update(service.pool, std::move(pools[service.pool]));
     }
 }
 
+void control_role::load_reported(const wire::envelope &message) {
+    const std::lock_guard lock{m_mutex};
+    const host_id from{message.from()};
+    const auto near = message.domain() == m_options.domain.str();
+    for(const auto &summary: message.placed().load()) {
+        const auto load = from_wire(summary);
+        m_spreader.refresh(load.pool, {from, near, load.capacity, load.backlog_ms, load.slots, load.free_slots});
+    }
+}
+
+std::map<pool_id, std::uint32_t> control_role::free_elsewhere() const {
+    const std::lock_guard lock{m_mutex};
+    std::map<pool_id, std::uint32_t> free;
+    for(const auto &[host, peer]: m_peers.all()) {
+        for(const auto &load: peer.load) {
+            free[load.pool] += peer.alive && !peer.draining ? load.free_slots : 0;
+        }
+    }
+    return free;
+}
+
 host_id control_role::choose_host(const pool_id &pool, double expected_ms, const host_id &avoid) {
     const std::lock_guard lock{m_mutex};
     return m_spreader.choose(pool, expected_ms, avoid);
@@ -340,7 +355,7 @@
 
 std::vector<host_id> control_role::domain_others() const {
     std::vector<host_id> others;
-    for(const auto &[host, joined] : m_map.members(m_options.domain)) {
+    for(const auto &[host, joined]: m_map.members(m_options.domain)) {
         if(host != m_options.host) {
             others.push_back(host);
         }
@@ -376,7 +391,7 @@
 
 std::optional<host_id> control_role::witness() const {
     const std::lock_guard lock{m_mutex};
-    for(const auto &[host, joined] : m_map.members(m_options.domain)) {
+    for(const auto &[host, joined]: m_map.members(m_options.domain)) {
         const auto *peer = m_peers.find(host);
         if(host != m_options.host && peer != nullptr && peer->alive && peer->process == joined.process) {
             return host;
@@ -391,7 +406,7 @@
     if(m_draining) {
         return targets;
     }
-    for(const auto &listed : m_hosts) {
+    for(const auto &listed: m_hosts) {
         if(!listed.is_target || listed.leaving || listed.domain != m_options.domain) {
             continue;
         }
@@ -487,7 +502,7 @@
         result.partitions_serving += state == ownership::service_state::serving ? 1U : 0U;
         result.partitions_waiting += state == ownership::service_state::waiting ? 1U : 0U;
     }
-    for(const auto &[host, peer] : m_peers.all()) {
+    for(const auto &[host, peer]: m_peers.all()) {
         result.peers.push_back(peer);
     }
     return result;
--- a/src/heathermoor/host/control_role.hpp
+++ b/src/heathermoor/host/control_role.hpp
@@ -127,6 +127,14 @@
     /// @param own Load of this host.
     void update_loads(const std::map<pool_id, placement::pool_load> &own);
 
+    /// @brief Takes the load that a dispatcher host reports with its results.
+    /// @param message Message that holds it.
+    void load_reported(const wire::envelope &message);
+
+    /// @brief Free slots on the other hosts, as last reported.
+    /// @return Slots of each pool.
+    [[nodiscard]] std::map<pool_id, std::uint32_t> free_elsewhere() const;
+
     /// @brief Chooses the host for a task.
     /// @param pool Pool.
     /// @param expected_ms Expected run time.
--- a/src/heathermoor/host/convert.cpp
+++ b/src/heathermoor/host/convert.cpp
@@ -14,7 +14,7 @@
     message.set_digest(spec.digest);
     message.set_refusal(static_cast<std::uint32_t>(spec.refusal));
     std::uint32_t index{};
-    for(const auto &task : spec.tasks) {
+    for(const auto &task: spec.tasks) {
         auto *out = message.add_tasks();
         out->set_index(index++);
         out->set_request(task.request.str());
@@ -33,7 +33,7 @@
     spec.digest = message.digest();
     spec.refusal = to_errc(message.refusal());
     spec.tasks.reserve(static_cast<std::size_t>(message.tasks_size()));
-    for(const auto &task : message.tasks()) {
+    for(const auto &task: message.tasks()) {
         spec.tasks.push_back({request_name{task.request()}, milliseconds{task.size_hint_ms()}, task.body()});
     }
     return spec;
@@ -44,7 +44,7 @@
     message.set_kind(static_cast<std::uint32_t>(result.kind));
     message.set_code(static_cast<std::uint32_t>(result.code));
     message.set_retry_after_ms(static_cast<std::uint32_t>(result.retry_after.count()));
-    for(const auto &body : result.results) {
+    for(const auto &body: result.results) {
         message.add_results(body);
     }
     return message;
@@ -60,9 +60,25 @@
     return result;
 }
 
+wire::load_summary to_wire(const pool_id &pool, const placement::pool_load &load) {
+    wire::load_summary message;
+    message.set_pool(pool.str());
+    message.set_capacity(load.capacity);
+    message.set_backlog_ms(load.backlog_ms);
+    message.set_short_backlog_ms(load.short_backlog_ms);
+    message.set_free_slots(load.free_slots);
+    message.set_slots(load.slots);
+    return message;
+}
+
+membership::reported_load from_wire(const wire::load_summary &message) {
+    return {pool_id{message.pool()},    message.capacity(),   message.backlog_ms(),
+            message.short_backlog_ms(), message.free_slots(), message.slots()};
+}
+
 std::uint64_t job_digest(const submission::job_spec &spec) {
     auto digest = hash64(spec.service.str());
-    for(const auto &task : spec.tasks) {
+    for(const auto &task: spec.tasks) {
         digest = hash64(task.request.str(), digest);
         digest = hash64(task.body, digest);
     }
--- a/src/heathermoor/host/convert.hpp
+++ b/src/heathermoor/host/convert.hpp
@@ -1,5 +1,7 @@
 #pragma once
 
+#include "heathermoor/membership/peer_table.hpp"
+#include "heathermoor/placement/task_policy.hpp"
 #include "heathermoor/submission/owner_table.hpp"
 #include "heathermoor/wire/heathermoor.pb.h"
 
@@ -26,6 +28,17 @@
 /// @return Outcome.
 [[nodiscard]] submission::outcome from_wire(const wire::outcome &message);
 
+/// @brief Load of a pool as a message.
+/// @param pool Pool.
+/// @param load Load.
+/// @return Message.
+[[nodiscard]] wire::load_summary to_wire(const pool_id &pool, const placement::pool_load &load);
+
+/// @brief Load of a pool from a message.
+/// @param message Message.
+/// @return Load.
+[[nodiscard]] membership::reported_load from_wire(const wire::load_summary &message);
+
 /// @brief Digest of everything in a job but its id and deadline.
 /// @param spec Job.
 /// @return Digest.
--- a/src/heathermoor/host/dispatch_role.cpp
+++ b/src/heathermoor/host/dispatch_role.cpp
@@ -1,5 +1,6 @@
 #include "heathermoor/host/dispatch_role.hpp"
 
+#include "heathermoor/host/convert.hpp"
 #include <map>
 
 namespace heathermoor::host {
@@ -23,7 +24,7 @@
     order.submission = submission_id{in.id()};
     order.owner_epoch = static_cast<epoch>(in.epoch());
     order.deadline = now + milliseconds{in.deadline_ms()};
-    for(const auto &task : in.tasks()) {
+    for(const auto &task: in.tasks()) {
         order.tasks.push_back({task.index(), task.attempt(), request_name{task.request()}, milliseconds{task.size_hint_ms()}, task.body()});
     }
     return order;
@@ -35,14 +36,14 @@
     : m_options{options}, m_targets{targets}, m_out{out}, m_dispatcher{options.dispatch} {}
 
 void dispatch_role::carry_out(placement::dispatch_effects effects) {
-    for(auto &start : effects.starts) {
+    for(auto &start: effects.starts) {
         m_targets.start(std::move(start));
     }
-    for(auto &stop : effects.stops) {
+    for(auto &stop: effects.stops) {
         m_targets.stop(std::move(stop));
     }
     std::map<placement::task_origin, wire::envelope> messages;
-    for(auto &report : effects.reports) {
+    for(auto &report: effects.reports) {
         auto &placed = *messages[report.origin].mutable_placed();
         placed.set_job(raw(report.origin.job));
         auto *out = placed.add_results();
@@ -52,7 +53,14 @@
         out->set_code(static_cast<std::uint32_t>(report.result.code));
         out->set_body(std::move(report.result.body));
     }
-    for(auto &[origin, message] : messages) {
+    if(messages.empty()) {
+        return;
+    }
+    const auto loads = load();
+    for(auto &[origin, message]: messages) {
+        for(const auto &[pool, summary]: loads) {
+            *message.mutable_placed()->add_load() = to_wire(pool, summary);
+        }
         message.set_to_incarnation(raw(origin.process));
         m_out.send(origin.owner, std::move(message));
     }
@@ -62,7 +70,7 @@
     auto order = internal::to_order(message, now);
     placement::dispatch_effects effects;
     if(internal::is_stale(message, m_options, now)) {
-        for(const auto &task : order.tasks) {
+        for(const auto &task: order.tasks) {
             effects.reports.push_back(
                 {order.origin, {task.index, task.attempt, submission::task_report::not_started, errc::stale_message, {}}});
         }
@@ -121,10 +129,11 @@
     carry_out(std::move(effects));
 }
 
-void dispatch_role::tick(time_point now) {
+void dispatch_role::tick(time_point now, const std::map<pool_id, std::uint32_t> &free_elsewhere) {
     placement::dispatch_effects effects;
     {
         const std::lock_guard lock{m_mutex};
+        m_dispatcher.give_back(free_elsewhere, now, effects);
         m_dispatcher.tick(now, effects);
     }
     carry_out(std::move(effects));
--- a/src/heathermoor/host/dispatch_role.hpp
+++ b/src/heathermoor/host/dispatch_role.hpp
@@ -49,9 +49,10 @@
     /// @param now Current time.
     void drain(time_point now);
 
-    /// @brief Expires and starts tasks.
+    /// @brief Expires, starts and gives back tasks.
     /// @param now Current time.
-    void tick(time_point now);
+    /// @param free_elsewhere Free slots on the other hosts.
+    void tick(time_point now, const std::map<pool_id, std::uint32_t> &free_elsewhere);
 
     /// @brief Load per pool.
     /// @return Load.
--- a/src/heathermoor/host/entry_role.cpp
+++ b/src/heathermoor/host/entry_role.cpp
@@ -129,7 +129,7 @@
 
 void entry_role::host_lost(const host_id &host, time_point now) {
     const std::lock_guard lock{m_mutex};
-    for(auto &[key, item] : m_requests) {
+    for(auto &[key, item]: m_requests) {
         if(item.sent_to == host) {
             item.send_at = std::min(item.send_at, now + item.backoff);
         }
@@ -155,10 +155,10 @@
         }
     }
     std::sort(due.begin(), due.end());
-    for(const auto key : due) {
+    for(const auto key: due) {
         route_one(key, now);
     }
-    for(auto &done : late) {
+    for(auto &done: late) {
         done(internal::unknown_reply(errc::owner_unavailable));
     }
 }
--- a/src/heathermoor/host/node.cpp
+++ b/src/heathermoor/host/node.cpp
@@ -80,6 +80,7 @@
         m_dispatch.place(message, now);
         break;
     case wire::envelope::kPlaced:
+        m_control.load_reported(message);
         m_owner.placed(message, now);
         break;
     case wire::envelope::kCancel:
@@ -144,13 +145,13 @@
 }
 
 void node::carry_out(control_effects effects, time_point now) {
-    for(const auto &lost : effects.lost) {
+    for(const auto &lost: effects.lost) {
         log(log_level::warning, "membership", "Peer lost. host={} incarnation={:x}", lost.host.str(), raw(lost.process));
         m_owner.host_lost(lost.host, now);
         m_dispatch.owner_lost(lost.host, lost.process);
         m_entry.host_lost(lost.host, now);
     }
-    for(auto &entry : effects.audit) {
+    for(auto &entry: effects.audit) {
         log(log_level::info, "audit", "Change decided. offset={} change={} author={} verdict={}", raw(entry.offset), entry.change_id,
             entry.author, code_name(entry.verdict));
     }
@@ -161,7 +162,7 @@
         m_dispatch.set_targets(m_control.own_targets(), now);
         m_control.update_loads(m_dispatch.load());
     }
-    for(auto &record : effects.appends) {
+    for(auto &record: effects.appends) {
         std::string text;
         (void)google::protobuf::util::MessageToJsonString(record, &text);
         append(port::log_stream::ownership, std::move(text));
@@ -169,13 +170,13 @@
     if(effects.snapshot) {
         append(port::log_stream::config, std::move(*effects.snapshot));
     }
-    for(const auto &request : effects.recalls) {
+    for(const auto &request: effects.recalls) {
         wire::envelope message;
         auto &recall = *message.mutable_ask_recall();
         recall.set_owner(request.previous.host.str());
         recall.set_owner_incarnation(raw(request.previous.process));
         recall.set_epoch(raw(request.claimed));
-        for(const auto slice : request.slices) {
+        for(const auto slice: request.slices) {
             recall.add_partitions(raw(slice));
         }
         send(request.peer, std::move(message));
@@ -196,7 +197,7 @@
 
 void node::send_heartbeats(time_point now) {
     const auto load = m_dispatch.load();
-    for(const auto &peer : m_control.peers()) {
+    for(const auto &peer: m_control.peers()) {
         wire::envelope message;
         *message.mutable_beat() = m_control.make_heartbeat(peer, load, now);
         send(peer, std::move(message));
@@ -214,14 +215,14 @@
     const auto now = m_ports.clock.now();
     if(now >= m_next_connect) {
         m_next_connect = now + internal::connect_interval;
-        for(const auto &[host, address] : m_control.addresses()) {
+        for(const auto &[host, address]: m_control.addresses()) {
             m_ports.peers.connect(host, address);
         }
     }
     control_effects effects;
     m_control.tick(now, effects);
     carry_out(std::move(effects), now);
-    m_dispatch.tick(now);
+    m_dispatch.tick(now, m_control.free_elsewhere());
     m_owner.tick(now);
     m_entry.tick(now);
     if(now >= m_next_heartbeat) {
--- a/src/heathermoor/host/owner_role.cpp
+++ b/src/heathermoor/host/owner_role.cpp
@@ -154,7 +154,7 @@
 }
 
 void owner_role::send_answers(std::vector<submission::answer> &answers) {
-    for(auto &answer : answers) {
+    for(auto &answer: answers) {
         wire::envelope out;
         out.set_correlation(raw(answer.to.request));
         *out.mutable_reply()->mutable_result() = to_wire(answer.result);
@@ -164,7 +164,7 @@
 }
 
 void owner_role::send_settled(const std::vector<submission::settled_job> &settled) {
-    for(const auto &job : settled) {
+    for(const auto &job: settled) {
         submission::parsed_id place;
         place.kind = submission::id_kind::plain;
         place.domain = m_options.domain;
@@ -193,7 +193,7 @@
 void owner_role::carry_out(shard &part, submission::owner_effects effects, time_point now) {
     send_answers(effects.answers);
     send_settled(effects.settled);
-    for(const auto &request : effects.cancels) {
+    for(const auto &request: effects.cancels) {
         wire::envelope out;
         out.mutable_cancel()->set_job(raw(request.job));
         m_out.send(request.host, std::move(out));
@@ -211,7 +211,7 @@
     wire::envelope out;
     {
         const std::lock_guard lock{m_record_mutex};
-        for(const auto &request : records) {
+        for(const auto &request: records) {
             m_pending_records.emplace(raw(request.job), pending_record{request.key, request.slice, now, !peer});
             m_journal_batch.push_back(peer ? submission::record_request{{}, request.key, request.slice} : request);
             if(peer) {
@@ -237,7 +237,7 @@
     const auto policy = m_control.policy();
     {
         const std::lock_guard lock{part.mutex};
-        for(const auto &request : requests) {
+        for(const auto &request: requests) {
             const auto *spec = part.table.find(request.job);
             if(spec == nullptr || request.index >= spec->tasks.size()) {
                 continue;
@@ -267,7 +267,7 @@
             part.table.placed(request, to, errc::no_target, now, effects);
         }
     }
-    for(auto &[key, message] : messages) {
+    for(auto &[key, message]: messages) {
         m_out.send(key.first, std::move(message));
     }
     if(!effects.answers.empty() || !effects.cancels.empty() || !effects.settled.empty()) {
@@ -279,7 +279,7 @@
     const auto job = static_cast<job_handle>(message.placed().job());
     auto &part = shard_of(job);
     submission::owner_effects effects;
-    for(const auto &in : message.placed().results()) {
+    for(const auto &in: message.placed().results()) {
         constexpr auto last_report = static_cast<std::uint32_t>(submission::task_report::not_started);
         submission::task_result result{in.index(), in.attempt(), static_cast<submission::task_report>(std::min(in.state(), last_report)),
                                        to_errc(in.code()), in.body()};
@@ -319,7 +319,7 @@
 }
 
 void owner_role::confirm(const std::vector<job_handle> &jobs, time_point now) {
-    for(const auto job : jobs) {
+    for(const auto job: jobs) {
         pending_record entry;
         {
             const std::lock_guard lock{m_record_mutex};
@@ -342,7 +342,7 @@
 }
 
 void owner_role::refuse(const std::vector<job_handle> &jobs, time_point now) {
-    for(const auto job : jobs) {
+    for(const auto job: jobs) {
         {
             const std::lock_guard lock{m_record_mutex};
             m_pending_records.erase(raw(job));
@@ -359,7 +359,7 @@
 
 void owner_role::remembered(const wire::envelope &message, time_point now) {
     std::vector<job_handle> jobs;
-    for(const auto job : message.remembered().jobs()) {
+    for(const auto job: message.remembered().jobs()) {
         jobs.push_back(static_cast<job_handle>(job));
     }
     confirm(jobs, now);
@@ -373,12 +373,12 @@
     out.set_to_incarnation(message.incarnation());
     {
         const std::lock_guard lock{m_witness_mutex};
-        for(const auto slice : in.partitions()) {
+        for(const auto slice: in.partitions()) {
             if(slice >= submission::partition_count) {
                 continue;
             }
             m_fence.at(slice) = std::max(m_fence.at(slice), in.epoch());
-            for(const auto &seen : m_witnessed.at(slice)) {
+            for(const auto &seen: m_witnessed.at(slice)) {
                 reply.add_keys(seen.key);
                 reply.add_key_partitions(slice);
             }
@@ -394,7 +394,7 @@
 }
 
 void owner_role::recalled(const wire::envelope &message, time_point now) {
-    for(const auto key : message.recalled().keys()) {
+    for(const auto key: message.recalled().keys()) {
         add_barred(key, now);
     }
     m_control.recalled(host_id{message.from()}, static_cast<epoch>(message.recalled().epoch()));
@@ -404,14 +404,14 @@
     std::vector<std::uint64_t> keys;
     {
         const std::lock_guard lock{m_witness_mutex};
-        for(const auto slice : slices) {
+        for(const auto slice: slices) {
             m_fence.at(raw(slice)) = std::max(m_fence.at(raw(slice)), raw(m_control.epoch_of(slice)));
-            for(const auto &seen : m_witnessed.at(raw(slice))) {
+            for(const auto &seen: m_witnessed.at(raw(slice))) {
                 keys.push_back(seen.key);
             }
         }
     }
-    for(const auto key : keys) {
+    for(const auto key: keys) {
         add_barred(key, now);
     }
 }
@@ -419,13 +419,13 @@
 void owner_role::journal_read(const std::vector<wire::record> &records, time_point now) {
     google::protobuf::util::JsonParseOptions options;
     options.ignore_unknown_fields = true;
-    for(const auto &record : records) {
+    for(const auto &record: records) {
         wire::journal_record entry;
         if(!google::protobuf::util::JsonStringToMessage(record.data(), &entry, options).ok() ||
            (entry.host() == m_options.host.str() && entry.incarnation() == raw(m_options.process))) {
             continue;
         }
-        for(const auto key : entry.keys()) {
+        for(const auto key: entry.keys()) {
             add_barred(key, now);
         }
     }
@@ -450,10 +450,10 @@
         table.set_serial(serial);
         return table;
     };
-    for(const auto &part : m_shards) {
+    for(const auto &part: m_shards) {
         const std::lock_guard lock{part->mutex};
-        for(const auto slice : plan.slices) {
-            for(auto &entry : part->table.export_partition(slice, now)) {
+        for(const auto slice: plan.slices) {
+            for(auto &entry: part->table.export_partition(slice, now)) {
                 auto *out = current().add_entries();
                 out->set_key(entry.key);
                 out->set_customer(std::move(entry.customer));
@@ -465,7 +465,7 @@
                 *out->mutable_result() = to_wire(entry.result);
             }
         }
-        for(const auto key : part->table.barred_keys()) {
+        for(const auto key: part->table.barred_keys()) {
             current().add_keys(key);
         }
     }
@@ -473,10 +473,10 @@
     last.set_serial(serial);
     last.set_last(true);
     last.set_total(total);
-    for(const auto slice : plan.slices) {
+    for(const auto slice: plan.slices) {
         last.add_partitions(raw(slice));
     }
-    for(auto &message : messages) {
+    for(auto &message: messages) {
         message.set_to_incarnation(raw(plan.to_process));
         m_out.send(plan.to, std::move(message));
     }
@@ -485,7 +485,7 @@
 void owner_role::table_received(const wire::envelope &message, time_point now) {
     const auto &in = message.table();
     const host_id from{message.from()};
-    for(const auto &moved : in.entries()) {
+    for(const auto &moved: in.entries()) {
         submission::transferred_entry entry{moved.key(),
                                             moved.customer(),
                                             moved.id(),
@@ -502,7 +502,7 @@
         }
         carry_out(part, std::move(effects), now);
     }
-    for(const auto key : in.keys()) {
+    for(const auto key: in.keys()) {
         add_barred(key, now);
     }
     if(in.serial() == 0) {
@@ -522,7 +522,7 @@
         return;
     }
     std::vector<partition> slices;
-    for(const auto slice : in.partitions()) {
+    for(const auto slice: in.partitions()) {
         slices.push_back(static_cast<partition>(slice));
     }
     m_control.received_table(slices, from, static_cast<incarnation>(message.incarnation()));
@@ -634,7 +634,7 @@
 }
 
 void owner_role::host_lost(const host_id &host, time_point now) {
-    for(const auto &part : m_shards) {
+    for(const auto &part: m_shards) {
         submission::owner_effects effects;
         {
             const std::lock_guard lock{part->mutex};
@@ -649,7 +649,7 @@
     auto urgent = false;
     {
         const std::lock_guard lock{m_record_mutex};
-        for(auto &[job, entry] : m_pending_records) {
+        for(auto &[job, entry]: m_pending_records) {
             if(!entry.in_journal && now - entry.asked > m_options.witness_timeout) {
                 entry.in_journal = true;
                 m_journal_batch.push_back({static_cast<job_handle>(job), entry.key, entry.slice});
@@ -664,7 +664,7 @@
 }
 
 void owner_role::tick(time_point now) {
-    for(const auto &part : m_shards) {
+    for(const auto &part: m_shards) {
         submission::owner_effects effects;
         {
             const std::lock_guard lock{part->mutex};
@@ -675,7 +675,7 @@
     fall_back_to_journal(now);
     drive_transfer(now);
     const std::lock_guard lock{m_witness_mutex};
-    for(auto &seen : m_witnessed) {
+    for(auto &seen: m_witnessed) {
         const auto old =
             std::find_if(seen.begin(), seen.end(), [&](const auto &entry) { return entry.at + m_options.table.key_retention > now; });
         seen.erase(seen.begin(), old);
@@ -684,7 +684,7 @@
 
 std::size_t owner_role::running() const {
     std::size_t count{};
-    for(const auto &part : m_shards) {
+    for(const auto &part: m_shards) {
         const std::lock_guard lock{part->mutex};
         count += part->table.running();
     }
@@ -693,7 +693,7 @@
 
 std::size_t owner_role::size() const {
     std::size_t count{};
-    for(const auto &part : m_shards) {
+    for(const auto &part: m_shards) {
         const std::lock_guard lock{part->mutex};
         count += part->table.size();
     }
@@ -702,7 +702,7 @@
 
 std::size_t owner_role::bytes() const {
     std::size_t count{};
-    for(const auto &part : m_shards) {
+    for(const auto &part: m_shards) {
         const std::lock_guard lock{part->mutex};
         count += part->table.bytes();
     }
--- a/src/heathermoor/membership/peer_table.cpp
+++ b/src/heathermoor/membership/peer_table.cpp
@@ -26,7 +26,7 @@
 
 std::vector<lost_peer> peer_table::tick(time_point now) {
     std::vector<lost_peer> lost;
-    for(auto &[host, entry] : m_peers) {
+    for(auto &[host, entry]: m_peers) {
         if(entry.alive && now - entry.last_heard > m_silence) {
             entry.alive = false;
             entry.load.clear();
--- a/src/heathermoor/ownership/keeper.cpp
+++ b/src/heathermoor/ownership/keeper.cpp
@@ -32,7 +32,7 @@
     record.set_host(plan.to.str());
     record.set_incarnation(raw(plan.to_process));
     record.set_handover(true);
-    for(const auto slice : plan.slices) {
+    for(const auto slice: plan.slices) {
         auto *grant = record.add_grants();
         grant->set_partition(raw(slice));
         grant->set_base(raw(map.owner(m_domain, slice).since));
@@ -69,7 +69,7 @@
 std::optional<member> keeper::best_member(partition slice, const ownership_map &map, const membership::peer_table &peers) const {
     std::optional<member> best;
     auto best_score = 0.0;
-    for(const auto &[host, candidate] : map.members(m_domain)) {
+    for(const auto &[host, candidate]: map.members(m_domain)) {
         const auto *known = peers.find(host);
         const auto is_self = host == m_self.host;
         const auto usable =
@@ -111,7 +111,7 @@
                             const membership::peer_table &peers, time_point now, keeper_effects &effects) {
     std::map<std::pair<host_id, incarnation>, takeover> groups;
     std::map<std::pair<host_id, incarnation>, partition_owner> previous;
-    for(const auto &moved : granted) {
+    for(const auto &moved: granted) {
         auto &slice = m_slices.at(raw(moved.slice));
         const auto received = m_received.find(moved.slice);
         const auto complete = received != m_received.end() && received->second == std::pair{moved.previous.host, moved.previous.process};
@@ -128,10 +128,10 @@
         groups[key].slices.push_back(moved.slice);
         previous[key] = moved.previous;
     }
-    for(auto &[key, group] : groups) {
+    for(auto &[key, group]: groups) {
         group.claimed = static_cast<epoch>(raw(offset));
         group.ready_at = now + m_settings.evidence_period + m_settings.takeover_margin;
-        for(const auto &[host, candidate] : map.members(m_domain)) {
+        for(const auto &[host, candidate]: map.members(m_domain)) {
             if(host == m_self.host || (host == key.first && candidate.process == key.second)) {
                 continue;
             }
@@ -158,20 +158,20 @@
         begin_takeover(granted, offset, map, peers, now, effects);
         return;
     }
-    for(const auto &moved : granted) {
+    for(const auto &moved: granted) {
         auto &slice = m_slices.at(raw(moved.slice));
         if(slice.state == service_state::transferring) {
             m_transferring = false;
         }
         slice = {};
-        for(auto &group : m_takeovers) {
+        for(auto &group: m_takeovers) {
             std::erase(group.slices, moved.slice);
         }
     }
 }
 
 void keeper::recalled(const host_id &peer, epoch claimed) {
-    for(auto &group : m_takeovers) {
+    for(auto &group: m_takeovers) {
         if(group.claimed == claimed) {
             group.pending.erase(peer);
         }
@@ -179,7 +179,7 @@
 }
 
 void keeper::journal_read(bool complete) {
-    for(auto &group : m_takeovers) {
+    for(auto &group: m_takeovers) {
         if(complete) {
             group.journal_pending = false;
         }
@@ -192,14 +192,14 @@
 }
 
 void keeper::received_table(const std::vector<partition> &slices, const host_id &from, incarnation process) {
-    for(const auto slice : slices) {
+    for(const auto slice: slices) {
         m_received[slice] = {from, process};
     }
 }
 
 void keeper::abandon_transfer() {
     m_transferring = false;
-    for(auto &slice : m_slices) {
+    for(auto &slice: m_slices) {
         if(slice.state == service_state::transferring) {
             slice.state = service_state::serving;
         }
@@ -219,14 +219,14 @@
 }
 
 void keeper::advance_takeovers(time_point now) {
-    for(auto &group : m_takeovers) {
+    for(auto &group: m_takeovers) {
         const auto late = now >= group.ready_at + m_settings.rebuild_time;
         const auto rebuilt = group.pending.empty() && !group.journal_pending;
         if(now < group.ready_at || (!rebuilt && !late)) {
             continue;
         }
         const auto gap = group.gap || !rebuilt;
-        for(const auto slice : group.slices) {
+        for(const auto slice: group.slices) {
             m_slices.at(raw(slice)) = {service_state::serving, gap ? now + m_settings.gap_period : time_point{}};
         }
         group.slices.clear();
@@ -236,7 +236,7 @@
 
 void keeper::balance(const ownership_map &map, const membership::peer_table &peers, time_point now, keeper_effects &effects) {
     std::set<host_id> live;
-    for(const auto &[host, known] : peers.all()) {
+    for(const auto &[host, known]: peers.all()) {
         if(known.alive && !known.draining) {
             live.insert(host);
         }
@@ -265,7 +265,7 @@
     if(!plans.empty()) {
         effects.transfer = plans.begin()->second;
         m_transferring = true;
-        for(const auto slice : effects.transfer->slices) {
+        for(const auto slice: effects.transfer->slices) {
             m_slices.at(raw(slice)).state = service_state::transferring;
         }
     }
--- a/src/heathermoor/ownership/ownership_map.cpp
+++ b/src/heathermoor/ownership/ownership_map.cpp
@@ -29,7 +29,7 @@
     }
     joined.host = host;
     joined.process = process;
-    for(const auto &grant : record.grants()) {
+    for(const auto &grant: record.grants()) {
         if(grant.partition() >= submission::partition_count) {
             continue;
         }
@@ -57,7 +57,7 @@
 std::vector<failure_domain_id> ownership_map::domains() const {
     std::vector<failure_domain_id> names;
     names.reserve(m_domains.size());
-    for(const auto &[name, state] : m_domains) {
+    for(const auto &[name, state]: m_domains) {
         names.push_back(name);
     }
     return names;
--- a/src/heathermoor/placement/dispatcher.cpp
+++ b/src/heathermoor/placement/dispatcher.cpp
@@ -62,7 +62,7 @@
 void dispatcher::place(job_order order, time_point now, dispatch_effects &effects) {
     const auto service = m_service_pools.find(order.service);
     const auto pool = service == m_service_pools.end() ? pool_id{} : service->second;
-    for(auto &item : order.tasks) {
+    for(auto &item: order.tasks) {
         const task_key key{order.origin, (static_cast<std::uint64_t>(item.index) << 32U) | item.attempt};
         if(!m_seen.emplace(key, now).second) {
             continue;
@@ -128,7 +128,7 @@
         return;
     }
     const auto handles = job->second;
-    for(const auto handle : handles) {
+    for(const auto handle: handles) {
         auto &task = m_tasks.at(static_cast<std::uint64_t>(handle));
         if(task.started) {
             effects.stops.push_back({task.address, task_name(task)});
@@ -141,12 +141,12 @@
 
 void dispatcher::owner_lost(const host_id &owner, incarnation process) {
     std::vector<task_handle> dropped;
-    for(const auto &[handle, task] : m_tasks) {
+    for(const auto &[handle, task]: m_tasks) {
         if(task.origin.owner == owner && task.origin.process == process && !task.started) {
             dropped.push_back(static_cast<task_handle>(handle));
         }
     }
-    for(const auto handle : dropped) {
+    for(const auto handle: dropped) {
         if(pool_at(m_tasks.at(static_cast<std::uint64_t>(handle)).pool).policy->remove(handle)) {
             forget(handle, {});
         }
@@ -155,12 +155,12 @@
 
 void dispatcher::decline_waiting(time_point now, dispatch_effects &effects) {
     std::vector<task_handle> waiting;
-    for(const auto &[handle, task] : m_tasks) {
+    for(const auto &[handle, task]: m_tasks) {
         if(!task.started) {
             waiting.push_back(static_cast<task_handle>(handle));
         }
     }
-    for(const auto handle : waiting) {
+    for(const auto handle: waiting) {
         const auto &task = m_tasks.at(static_cast<std::uint64_t>(handle));
         if(pool_at(task.pool).policy->remove(handle)) {
             report(task, task_report::not_started, errc::draining, {}, effects);
@@ -169,6 +169,24 @@
     }
 }
 
+void dispatcher::give_back(const std::map<pool_id, std::uint32_t> &free_elsewhere, time_point now, dispatch_effects &effects) {
+    for(auto &[name, pool]: m_pools) {
+        const auto found = free_elsewhere.find(name);
+        const auto load = pool.policy->load();
+        if(found == free_elsewhere.end() || load.queued == 0 || load.free_slots > 0) {
+            continue;
+        }
+        const auto most = found->second / m_settings.give_back_divisor;
+        for(const auto handle: pool.policy->longest_waiting(m_settings.give_back_wait, most, now)) {
+            const auto &task = m_tasks.at(static_cast<std::uint64_t>(handle));
+            if(task.order.attempt + 1 < m_settings.max_attempts && pool.policy->remove(handle)) {
+                report(task, task_report::not_started, errc::overloaded, {}, effects);
+                forget(handle, now);
+            }
+        }
+    }
+}
+
 void dispatcher::answered(target_answer answer, time_point now, dispatch_effects &effects) {
     const auto found = m_tasks.find(static_cast<std::uint64_t>(answer.handle));
     if(found == m_tasks.end() || !found->second.started) {
@@ -177,7 +195,7 @@
     auto &task = found->second;
     auto &pool = pool_at(task.pool);
     if(answer.end == task_end::refused_leaving) {
-        for(const auto &target : pool.listed) {
+        for(const auto &target: pool.listed) {
             if(target.address == task.address) {
                 m_leaving[target.id] = now + m_settings.leaving_hold;
             }
@@ -204,25 +222,25 @@
 void dispatcher::set_targets(const std::vector<target_info> &targets, time_point now, dispatch_effects &effects) {
     std::map<pool_id, std::map<target_id, target_info>> wanted;
     std::erase_if(m_leaving, [now](const auto &entry) { return entry.second <= now; });
-    for(const auto &target : targets) {
+    for(const auto &target: targets) {
         if(!m_leaving.contains(target.id)) {
             wanted[target.pool].emplace(target.id, target);
         }
     }
-    for(auto &[name, pool] : m_pools) {
-        for(const auto &[id, index] : pool.targets) {
+    for(auto &[name, pool]: m_pools) {
+        for(const auto &[id, index]: pool.targets) {
             if(!wanted[name].contains(id)) {
                 pool.policy->close_target(index);
                 pool.listed.at(static_cast<std::size_t>(index)).slots = 0;
             }
         }
     }
-    for(const auto &[name, list] : wanted) {
+    for(const auto &[name, list]: wanted) {
         if(list.empty()) {
             continue;
         }
         auto &pool = pool_at(name);
-        for(const auto &[id, target] : list) {
+        for(const auto &[id, target]: list) {
             const auto next = static_cast<target_index>(pool.targets.size());
             const auto [position, added] = pool.targets.emplace(id, next);
             if(added) {
@@ -240,10 +258,10 @@
 
 void dispatcher::set_policy(const config::policy &current) {
     m_service_pools.clear();
-    for(const auto &[name, service] : current.services) {
+    for(const auto &[name, service]: current.services) {
         m_service_pools[name] = service.pool;
         auto &pool = pool_at(service.pool);
-        for(const auto &[customer, claims] : service.customers) {
+        for(const auto &[customer, claims]: service.customers) {
             pool.policy->set_customer(index_of(pool, customer), {claims.share, claims.cap});
         }
         pool.policy->set_long_tasks(service.long_task, service.long_slots_percent / 100.0);
@@ -251,8 +269,8 @@
 }
 
 void dispatcher::tick(time_point now, dispatch_effects &effects) {
-    for(auto &[name, pool] : m_pools) {
-        for(const auto handle : pool.policy->expire(now)) {
+    for(auto &[name, pool]: m_pools) {
+        for(const auto handle: pool.policy->expire(now)) {
             report(m_tasks.at(static_cast<std::uint64_t>(handle)), task_report::not_started, errc::deadline_exceeded, {}, effects);
             forget(handle, now);
         }
@@ -268,7 +286,7 @@
 
 std::map<pool_id, pool_load> dispatcher::load() const {
     std::map<pool_id, pool_load> loads;
-    for(const auto &[name, pool] : m_pools) {
+    for(const auto &[name, pool]: m_pools) {
         const auto load = pool.policy->load();
         if(load.slots > 0) {
             loads.emplace(name, load);
--- a/src/heathermoor/placement/dispatcher.hpp
+++ b/src/heathermoor/placement/dispatcher.hpp
@@ -100,6 +100,12 @@
     duration memory{seconds{30}};
     /// Time beyond its deadline after which a started task is given up.
     duration lease_margin{milliseconds{500}};
+    /// Time that a task must have waited before it is given back.
+    duration give_back_wait{milliseconds{20}};
+    /// Share of the other hosts' free slots that one host may count on.
+    std::uint32_t give_back_divisor{4};
+    /// Most placements of one task.
+    std::uint32_t max_attempts{3};
     /// Time for which a target that said it is leaving is not listed again.
     duration leaving_hold{seconds{30}};
 };
@@ -136,6 +142,12 @@
     /// @param effects What is to be done.
     void decline_waiting(time_point now, dispatch_effects &effects);
 
+    /// @brief Declines tasks that wait here while other hosts have free slots.
+    /// @param free_elsewhere Free slots on the other hosts.
+    /// @param now Current time.
+    /// @param effects What is to be done.
+    void give_back(const std::map<pool_id, std::uint32_t> &free_elsewhere, time_point now, dispatch_effects &effects);
+
     /// @brief Takes the answer of a target.
     /// @param answer Answer; unknown or repeated ones are ignored.
     /// @param now Current time.
--- a/src/heathermoor/placement/run_time_model.cpp
+++ b/src/heathermoor/placement/run_time_model.cpp
@@ -2,6 +2,7 @@
 
 #include <algorithm>
 #include <bit>
+#include <cmath>
 
 namespace heathermoor::placement {
 
@@ -10,7 +11,7 @@
 constexpr milliseconds default_run_time{200};
 constexpr std::uint32_t trusted_samples = 3;
 constexpr double least_gain = 0.05;
-constexpr double clip_factor = 4.0;
+constexpr double least_ms = 0.1;
 constexpr std::size_t max_classes = 65'536;
 
 } // namespace internal
@@ -27,7 +28,7 @@
     if(found == m_classes.end() || found->second.samples == 0) {
         return prior;
     }
-    const auto learned = from_ms(found->second.mean_ms);
+    const auto learned = from_ms(std::exp(found->second.mean_log_ms));
     if(found->second.samples >= internal::trusted_samples) {
         return learned;
     }
@@ -39,13 +40,10 @@
         m_classes.clear();
     }
     auto &entry = m_classes[static_cast<std::uint64_t>(kind)];
-    auto normalised = to_ms(observed) * speed;
-    if(entry.samples >= internal::trusted_samples) {
-        normalised = std::min(normalised, entry.mean_ms * internal::clip_factor);
-    }
+    const auto normalised = std::log(std::max(to_ms(observed) * speed, internal::least_ms));
     ++entry.samples;
     const auto gain = std::max(1.0 / entry.samples, internal::least_gain);
-    entry.mean_ms += gain * (normalised - entry.mean_ms);
+    entry.mean_log_ms += gain * (normalised - entry.mean_log_ms);
 }
 
 } // namespace heathermoor::placement
--- a/src/heathermoor/placement/run_time_model.hpp
+++ b/src/heathermoor/placement/run_time_model.hpp
@@ -11,6 +11,9 @@
 
 /// @brief Learns how long each class of tasks runs on a target of speed 1.
 ///
+/// The estimate is a moving mean of the logarithm, so that a few stragglers do
+/// not make their whole class look long.
+///
 /// A class is a request of a service together with the power of two of the
 /// declared size; the declared size itself is only the first guess.
 class run_time_model {
@@ -35,7 +38,7 @@
 
   private:
     struct statistics {
-        double mean_ms{};
+        double mean_log_ms{};
         std::uint32_t samples{};
     };
 
--- a/src/heathermoor/placement/scheduler.cpp
+++ b/src/heathermoor/placement/scheduler.cpp
@@ -12,6 +12,11 @@
 constexpr double max_log_speed = 3.0;
 constexpr duration full_hold = milliseconds{50};
 constexpr double max_log_error = 1.4;
+constexpr double fastest_decay = 0.9999;
+constexpr double max_charge_factor = 1.0;
+constexpr double run_time_margin = 1.2;
+constexpr double overdue_factor = 3.0;
+constexpr double least_turning = 0.05;
 
 [[nodiscard]] std::size_t bucket_of(duration expected, std::size_t count) noexcept {
     const auto ms = static_cast<std::uint64_t>(std::max(to_ms(expected), 0.0));
@@ -134,7 +139,9 @@
     auto &list = customer.buckets.at(bucket);
     list.push_back({task, expected, bucket, is_long});
     m_waiting.emplace(static_cast<std::uint64_t>(task.handle), std::pair{index, std::prev(list.end())});
-    m_deadlines.emplace(task.deadline, static_cast<std::uint64_t>(task.handle));
+    const auto fastest = std::max(m_fastest, 1.0);
+    const auto least_run = duration{static_cast<std::int64_t>(static_cast<double>(expected.count()) / fastest)};
+    m_deadlines.emplace(task.deadline - least_run, static_cast<std::uint64_t>(task.handle));
     m_backlog_ms += to_ms(expected);
     if(!is_long) {
         m_short_backlog_ms += to_ms(expected);
@@ -180,7 +187,7 @@
 scheduler::task_list *scheduler::best_bucket(customer_state &customer, bool allow_long, time_point now) const {
     task_list *best = nullptr;
     auto best_rank = 0.0;
-    for(auto &bucket : customer.buckets) {
+    for(auto &bucket: customer.buckets) {
         if(bucket.empty() || (bucket.front().is_long && !allow_long)) {
             continue;
         }
@@ -194,48 +201,72 @@
     return best;
 }
 
-std::optional<std::uint32_t> scheduler::pick_target(const waiting_task & /*task*/, time_point /*now*/) const {
-    if(m_free.empty()) {
-        return std::nullopt;
+scheduler::task_list::iterator scheduler::best_task(task_list &bucket, time_point now) const {
+    const auto &oldest = bucket.front().task;
+    const auto overloaded = now - oldest.queued_at > (oldest.deadline - oldest.queued_at) / 2;
+    return overloaded ? std::prev(bucket.end()) : bucket.begin();
+}
+
+bool scheduler::can_finish(const waiting_task &task, std::uint32_t target, time_point now) const {
+    const auto run_ms = to_ms(task.expected) * internal::run_time_margin / std::exp(m_targets[target].log_speed);
+    return now + from_ms(run_ms) <= task.task.deadline || task.task.queued_at == now;
+}
+
+void scheduler::note_overdue(time_point now) {
+    while(!m_expected_ends.empty() && m_expected_ends.top().first <= now) {
+        const auto found = m_running.find(m_expected_ends.top().second);
+        m_expected_ends.pop();
+        if(found != m_running.end()) {
+            found->second.is_overdue = true;
+            ++m_overdue;
+        }
     }
-    return m_free.begin()->second;
+}
+
+void scheduler::start(task_list &bucket, task_list::iterator position, std::uint32_t target, time_point now) {
+    const auto chosen = *position;
+    const auto index = static_cast<std::uint32_t>(chosen.task.customer);
+    auto &customer = m_customers[index];
+    const auto old_time = customer.virtual_time;
+    m_virtual_time = std::max(m_virtual_time, old_time);
+    erase_waiting(bucket, position);
+    m_order.erase({old_time, index});
+    customer.virtual_time = old_time + std::max(to_ms(chosen.expected), 1.0) / customer.share.weight;
+    if(customer.waiting > 0) {
+        m_order.emplace(customer.virtual_time, index);
+    }
+    ++customer.running;
+    ++m_targets[target].running;
+    m_running_long += chosen.is_long ? 1U : 0U;
+    const auto handle = static_cast<std::uint64_t>(chosen.task.handle);
+    m_running.emplace(handle, running_task{chosen.task, static_cast<target_index>(target), now, chosen.expected, chosen.is_long, false});
+    const auto late_ms = to_ms(chosen.expected) * internal::overdue_factor / std::exp(m_targets[target].log_speed);
+    m_expected_ends.emplace(now + from_ms(late_ms), handle);
+    relist(target, now);
 }
 
 std::optional<assignment> scheduler::next(time_point now) {
     wake_targets(now);
-    if(m_free.empty() || m_order.empty()) {
-        return std::nullopt;
-    }
+    note_overdue(now);
     const auto allow_long = long_allowed(now);
-    for(const auto &[virtual_time, index] : m_order) {
-        auto &customer = m_customers[index];
-        if(customer.share.cap != 0 && customer.running >= customer.share.cap) {
-            continue;
-        }
-        auto *bucket = best_bucket(customer, allow_long, now);
+    for(auto position = m_order.begin(); position != m_order.end() && !m_free.empty();) {
+        auto &customer = m_customers[position->second];
+        auto *bucket = customer.share.cap != 0 && customer.running >= customer.share.cap ? nullptr : best_bucket(customer, allow_long, now);
         if(bucket == nullptr) {
+            ++position;
             continue;
         }
-        const auto target = pick_target(bucket->front(), now);
-        if(!target) {
-            return std::nullopt;
-        }
-        const auto chosen = bucket->front();
-        m_virtual_time = std::max(m_virtual_time, virtual_time);
-        const auto old_time = customer.virtual_time;
-        erase_waiting(*bucket, bucket->begin());
-        m_order.erase({old_time, index});
-        customer.virtual_time = old_time + std::max(to_ms(chosen.expected), 1.0) / customer.share.weight;
-        if(customer.waiting > 0) {
-            m_order.emplace(customer.virtual_time, index);
+        const auto target = m_free.begin()->second;
+        const auto task = best_task(*bucket, now);
+        if(!can_finish(*task, target, now)) {
+            m_expired.push_back(task->task.handle);
+            erase_waiting(*bucket, task);
+            position = m_order.begin();
+            continue;
         }
-        ++customer.running;
-        ++m_targets[*target].running;
-        m_running_long += chosen.is_long ? 1U : 0U;
-        m_running.emplace(static_cast<std::uint64_t>(chosen.task.handle),
-                          running_task{chosen.task, static_cast<target_index>(*target), now, chosen.expected, chosen.is_long});
-        relist(*target, now);
-        return assignment{chosen.task.handle, static_cast<target_index>(*target)};
+        const auto handle = task->task.handle;
+        start(*bucket, task, target, now);
+        return assignment{handle, static_cast<target_index>(target)};
     }
     return std::nullopt;
 }
@@ -249,12 +280,28 @@
     const auto gain = std::max(internal::speed_gain, 0.5 / target.samples);
     const auto old_speed = std::exp(target.log_speed);
     target.log_speed = std::clamp(target.log_speed + gain * error, -internal::max_log_speed, internal::max_log_speed);
+    m_fastest = std::max(m_fastest * internal::fastest_decay, std::exp(target.log_speed));
     if(target.open) {
         m_capacity += target.slots * (std::exp(target.log_speed) - old_speed);
     }
     m_model.observe(kind, now - task.started, std::exp(target.log_speed));
 }
 
+void scheduler::charge_difference(const running_task &task, time_point now) {
+    const auto index = static_cast<std::uint32_t>(task.task.customer);
+    auto &customer = m_customers[index];
+    const auto speed = std::exp(m_targets[static_cast<size_type>(task.target)].log_speed);
+    const auto expected = to_ms(task.expected);
+    const auto difference = std::min(to_ms(now - task.started) * speed - expected, internal::max_charge_factor * expected);
+    if(customer.waiting > 0) {
+        m_order.erase({customer.virtual_time, index});
+    }
+    customer.virtual_time += difference / customer.share.weight;
+    if(customer.waiting > 0) {
+        m_order.emplace(customer.virtual_time, index);
+    }
+}
+
 void scheduler::ended(task_handle handle, task_end end, time_point now) {
     const auto found = m_running.find(static_cast<std::uint64_t>(handle));
     if(found == m_running.end()) {
@@ -266,6 +313,8 @@
     --target.running;
     --m_customers[static_cast<size_type>(task.task.customer)].running;
     m_running_long -= task.is_long ? 1U : 0U;
+    m_overdue -= task.is_overdue ? 1U : 0U;
+    charge_difference(task, now);
     const auto was_ejected = target.health.current() == target_health::state::ejected;
     switch(end) {
     case task_end::done:
@@ -296,7 +345,8 @@
 }
 
 std::vector<task_handle> scheduler::expire(time_point now) {
-    std::vector<task_handle> expired;
+    auto expired = std::move(m_expired);
+    m_expired.clear();
     while(!m_deadlines.empty() && m_deadlines.top().first <= now) {
         const auto handle = static_cast<task_handle>(m_deadlines.top().second);
         m_deadlines.pop();
@@ -309,7 +359,13 @@
 
 pool_load scheduler::load() const {
     const auto running = static_cast<std::uint32_t>(m_running.size());
-    return {m_capacity, m_backlog_ms, m_short_backlog_ms, m_slots, m_slots > running ? m_slots - running : 0, m_waiting.size()};
+    const auto turning = m_slots == 0 ? 0.0 : 1.0 - static_cast<double>(std::min(m_overdue, m_slots)) / m_slots;
+    return {m_capacity * std::max(turning, internal::least_turning),
+            m_backlog_ms,
+            m_short_backlog_ms,
+            m_slots,
+            m_slots > running ? m_slots - running : 0,
+            m_waiting.size()};
 }
 
 void scheduler::set_long_tasks(duration long_task, double slot_share) noexcept {
@@ -317,6 +373,26 @@
     m_settings.long_slot_share = slot_share;
 }
 
+std::vector<task_handle> scheduler::longest_waiting(duration waited, size_type most, time_point now) const {
+    std::vector<std::pair<time_point, task_handle>> found;
+    for(const auto &[virtual_time, index]: m_order) {
+        for(const auto &bucket: m_customers[index].buckets) {
+            for(const auto &waiting: bucket) {
+                if(found.size() >= most || now - waiting.task.queued_at < waited) {
+                    break;
+                }
+                found.emplace_back(waiting.task.queued_at, waiting.task.handle);
+            }
+        }
+    }
+    std::sort(found.begin(), found.end());
+    std::vector<task_handle> handles;
+    for(const auto &[at, handle]: found) {
+        handles.push_back(handle);
+    }
+    return handles;
+}
+
 double scheduler::speed(target_index target) const {
     const auto index = static_cast<size_type>(target);
     return index < m_targets.size() ? std::exp(m_targets[index].log_speed) : 1.0;
--- a/src/heathermoor/placement/scheduler.hpp
+++ b/src/heathermoor/placement/scheduler.hpp
@@ -31,7 +31,9 @@
 /// Customers take turns by start-time fair queueing: each start advances the
 /// customer's virtual time by expected run time over weight. Within a customer
 /// the waiting tasks stand in one queue per power of two of expected run time;
-/// the queue with the least expected run time less aged waiting goes first.
+/// the queue with the least expected run time less aged waiting goes first. A
+/// queue whose oldest task has used up half its time is served newest first,
+/// so that the slots go to tasks that can still meet their deadlines.
 class scheduler final : public task_policy {
   public:
     using size_type = std::size_t;
@@ -55,6 +57,13 @@
     /// @param slot_share Share of the slots that long tasks may hold while short ones are expected.
     void set_long_tasks(duration long_task, double slot_share) noexcept;
 
+    /// @brief Tasks that have waited longest, for another host to take.
+    /// @param waited Least time that a task must have waited.
+    /// @param most Most tasks wanted.
+    /// @param now Current time.
+    /// @return Handles; the tasks stay in the queue.
+    [[nodiscard]] std::vector<task_handle> longest_waiting(duration waited, size_type most, time_point now) const;
+
     /// @brief Learned speed of a target against the others.
     /// @param target Index of the target.
     /// @return Speed; 1 until something was learned.
@@ -104,8 +113,11 @@
         time_point started{};
         duration expected{};
         bool is_long{};
+        bool is_overdue{};
     };
 
+    using timed_handle = std::pair<time_point, std::uint64_t>;
+    using time_queue = std::priority_queue<timed_handle, std::vector<timed_handle>, std::greater<>>;
     using customer_order = std::set<std::pair<double, std::uint32_t>>;
     using target_order = std::set<std::pair<double, std::uint32_t>>;
 
@@ -116,9 +128,13 @@
     void wake_targets(time_point now);
     [[nodiscard]] bool long_allowed(time_point now) const;
     [[nodiscard]] task_list *best_bucket(customer_state &customer, bool allow_long, time_point now) const;
-    [[nodiscard]] std::optional<std::uint32_t> pick_target(const waiting_task &task, time_point now) const;
+    [[nodiscard]] task_list::iterator best_task(task_list &bucket, time_point now) const;
+    [[nodiscard]] bool can_finish(const waiting_task &task, std::uint32_t target, time_point now) const;
+    void start(task_list &bucket, task_list::iterator position, std::uint32_t target, time_point now);
+    void note_overdue(time_point now);
     void activate(std::uint32_t index);
     void erase_waiting(task_list &bucket, task_list::iterator position);
+    void charge_difference(const running_task &task, time_point now);
     void learn_speed(target_state &target, const running_task &task, time_point now);
 
     scheduler_settings m_settings;
@@ -130,9 +146,12 @@
     std::set<std::pair<time_point, std::uint32_t>> m_wakeups;
     std::unordered_map<std::uint64_t, std::pair<std::uint32_t, task_list::iterator>> m_waiting;
     std::unordered_map<std::uint64_t, running_task> m_running;
-    std::priority_queue<std::pair<time_point, std::uint64_t>, std::vector<std::pair<time_point, std::uint64_t>>, std::greater<>>
-        m_deadlines;
+    time_queue m_deadlines;
+    time_queue m_expected_ends;
+    std::vector<task_handle> m_expired;
+    std::uint32_t m_overdue{};
     double m_virtual_time{};
+    double m_fastest{1.0};
     double m_backlog_ms{};
     double m_short_backlog_ms{};
     double m_capacity{};
--- a/src/heathermoor/placement/spreader.cpp
+++ b/src/heathermoor/placement/spreader.cpp
@@ -23,13 +23,21 @@
     m_pools[pool] = std::move(loads);
 }
 
+void spreader::refresh(const pool_id &pool, const share_load &load) {
+    for(auto &known: m_pools[pool]) {
+        if(known.host == load.host) {
+            known = load;
+        }
+    }
+}
+
 host_id spreader::choose(const pool_id &pool, double expected_ms, const host_id &avoid) {
     const auto found = m_pools.find(pool);
     if(found == m_pools.end()) {
         return {};
     }
     share_load *best = nullptr;
-    for(auto &load : found->second) {
+    for(auto &load: found->second) {
         const auto better = best == nullptr || internal::rank(load) < internal::rank(*best);
         if(load.host != avoid && load.slots > 0 && better) {
             best = &load;
@@ -47,7 +55,7 @@
     const auto found = m_pools.find(pool);
     auto least = duration::max();
     if(found != m_pools.end()) {
-        for(const auto &load : found->second) {
+        for(const auto &load: found->second) {
             least = std::min(least, from_ms(internal::wait_ms(load)));
         }
     }
--- a/src/heathermoor/placement/spreader.hpp
+++ b/src/heathermoor/placement/spreader.hpp
@@ -31,6 +31,11 @@
     /// @param loads One entry per host with a usable slot.
     void update(const pool_id &pool, std::vector<share_load> loads);
 
+    /// @brief Replaces what is known of one share.
+    /// @param pool Pool.
+    /// @param load Load of the share now.
+    void refresh(const pool_id &pool, const share_load &load);
+
     /// @brief Chooses a host and counts the task against it.
     /// @param pool Pool of the task.
     /// @param expected_ms Expected run time on a target of speed 1.
--- a/src/heathermoor/placement/task_policy.hpp
+++ b/src/heathermoor/placement/task_policy.hpp
@@ -96,7 +96,7 @@
     /// @param now Current time.
     virtual void ended(task_handle task, task_end end, time_point now) = 0;
 
-    /// @brief Removes waiting tasks whose deadline has passed.
+    /// @brief Removes waiting tasks that can no longer end before their deadline.
     /// @param now Current time.
     /// @return Handles of the removed tasks.
     [[nodiscard]] virtual std::vector<task_handle> expire(time_point now) = 0;
--- a/src/heathermoor/submission/id.cpp
+++ b/src/heathermoor/submission/id.cpp
@@ -52,7 +52,7 @@
 [[nodiscard]] failure_domain_id domain_of(std::uint64_t key, std::span<const failure_domain_id> domains) {
     const auto *best = &domains.front();
     std::uint64_t best_score{};
-    for(const auto &domain : domains) {
+    for(const auto &domain: domains) {
         const auto score = hash64(domain.str(), key);
         if(score >= best_score) {
             best_score = score;
--- a/src/heathermoor/submission/owner_table.cpp
+++ b/src/heathermoor/submission/owner_table.cpp
@@ -12,7 +12,7 @@
 
 [[nodiscard]] std::size_t size_of(const job_spec &spec) noexcept {
     std::size_t bytes = entry_overhead + 2 * (spec.id.str().size() + spec.customer.str().size());
-    for(const auto &task : spec.tasks) {
+    for(const auto &task: spec.tasks) {
         bytes += task_overhead + task.body.size();
     }
     return bytes;
@@ -20,7 +20,7 @@
 
 [[nodiscard]] std::size_t size_of(const outcome &result) noexcept {
     std::size_t bytes{};
-    for(const auto &body : result.results) {
+    for(const auto &body: result.results) {
         bytes += sizeof(std::string) + body.size();
     }
     return bytes;
@@ -154,7 +154,7 @@
 }
 
 void owner_table::forget(entry &job, errc code, owner_effects &effects) {
-    for(auto &to : job.waiters) {
+    for(auto &to: job.waiters) {
         effects.answers.push_back({std::move(to), internal::unknown_outcome(code, internal::record_retry), false});
     }
     m_timers.erase({job.decide_by, raw(job.handle)});
@@ -260,7 +260,7 @@
     if(job.state != job_state::ending) {
         job.state = job_state::ending;
         std::vector<host_id> hosts;
-        for(auto &task : job.tasks) {
+        for(auto &task: job.tasks) {
             if(task.state == task_state::waiting) {
                 task.state = task_state::not_started;
                 --job.unsettled;
@@ -268,7 +268,7 @@
                 hosts.push_back(task.host);
             }
         }
-        for(auto &host : hosts) {
+        for(auto &host: hosts) {
             effects.cancels.push_back({std::move(host), job.handle});
         }
         add_timer(job, now + m_settings.cancel_grace);
@@ -290,7 +290,7 @@
     const auto all = static_cast<std::ptrdiff_t>(job.tasks.size());
     if(count(task_state::done) == all) {
         outcome result{outcome_kind::complete, errc::ok, {}, {}};
-        for(const auto &task : job.tasks) {
+        for(const auto &task: job.tasks) {
             result.results.push_back(task.result);
         }
         return result;
@@ -314,7 +314,7 @@
     job.state = job_state::finished;
     job.result = std::move(result);
     job.changed = now;
-    for(auto &to : job.waiters) {
+    for(auto &to: job.waiters) {
         effects.answers.push_back({std::move(to), job.result, false});
     }
     if(job.exported) {
@@ -331,7 +331,7 @@
 
 void owner_table::host_lost(const host_id &host, time_point now, owner_effects &effects) {
     std::vector<std::pair<job_handle, task_result>> lost;
-    for(const auto &[handle, job] : m_jobs) {
+    for(const auto &[handle, job]: m_jobs) {
         for(std::uint32_t index = 0; index < job->tasks.size(); ++index) {
             const auto &task = job->tasks[index];
             if(task.state == task_state::placed && task.host == host) {
@@ -340,7 +340,7 @@
         }
     }
     std::sort(lost.begin(), lost.end(), [](const auto &a, const auto &b) { return raw(a.first) < raw(b.first); });
-    for(auto &[handle, result] : lost) {
+    for(auto &[handle, result]: lost) {
         task_ended(handle, std::move(result), false, now, effects);
     }
 }
@@ -425,7 +425,7 @@
 
 std::vector<transferred_entry> owner_table::export_partition(partition slice, time_point now) {
     std::vector<transferred_entry> entries;
-    for(const auto &[text, job] : m_entries) {
+    for(const auto &[text, job]: m_entries) {
         if(job->place.kind == id_kind::host_minted || job->place.slice != slice) {
             continue;
         }
@@ -440,7 +440,7 @@
 std::vector<std::uint64_t> owner_table::barred_keys() const {
     std::vector<std::uint64_t> keys;
     keys.reserve(m_barred_order.size());
-    for(const auto &[at, key] : m_barred_order) {
+    for(const auto &[at, key]: m_barred_order) {
         keys.push_back(key);
     }
     return keys;
@@ -471,12 +471,12 @@
 
 void owner_table::fail_imported(const host_id &from, time_point now, owner_effects &effects) {
     std::vector<entry *> lost;
-    for(const auto &[handle, job] : m_jobs) {
+    for(const auto &[handle, job]: m_jobs) {
         if(job->state == job_state::elsewhere && job->place.host == from) {
             lost.push_back(job);
         }
     }
-    for(auto *job : lost) {
+    for(auto *job: lost) {
         finish(*job, internal::unknown_outcome(errc::outcome_lost), now, effects);
     }
 }
--- a/standin/platform.cpp
+++ b/standin/platform.cpp
@@ -105,7 +105,7 @@
         body["first"] = stream.records.empty() ? stream.next : stream.records.front().offset;
         body["next"] = stream.next;
         body["records"] = json::array();
-        for(const auto &record : stream.records) {
+        for(const auto &record: stream.records) {
             if(record.offset >= from && body["records"].size() < limit) {
                 body["records"].push_back({{"offset", record.offset}, {"data", record.data}});
             }
@@ -168,7 +168,7 @@
             });
             json list;
             list["hosts"] = json::array();
-            for(const auto &[id, host] : m_hosts) {
+            for(const auto &[id, host]: m_hosts) {
                 list["hosts"].push_back(host.entry);
             }
             pending.emplace_back(now + milliseconds{m_options.list_lag_ms}, std::move(list));
--- a/tests/fault/faults.cpp
+++ b/tests/fault/faults.cpp
@@ -117,7 +117,7 @@
 
 std::vector<std::string> run_schedule(std::uint64_t seed, schedule steps, answer_counts *counts) {
     virtual_system system{seed};
-    for(const auto &host : host_names) {
+    for(const auto &host: host_names) {
         system.start_host(host, domain_of(host));
         system.add_target("t-" + host, domain_of(host), 8);
     }
@@ -127,14 +127,14 @@
     }
     std::stable_sort(steps.begin(), steps.end(), [](const auto &a, const auto &b) { return a.at < b.at; });
     const auto start = system.now();
-    for(const auto &next : steps) {
+    for(const auto &next: steps) {
         if(start + next.at > system.now()) {
             system.run_for(start + next.at - system.now());
         }
         next.action(system);
     }
     system.run_for(seconds{14});
-    for(const auto &caller : system.callers) {
+    for(const auto &caller: system.callers) {
         if(counts != nullptr) {
             const auto kind = caller.answer.result.kind;
             ++counts->callers;
--- a/tests/fault/outcomes.cpp
+++ b/tests/fault/outcomes.cpp
@@ -15,10 +15,10 @@
     }
     std::string text = fmt::format("{} seed={}\n", name, seed);
     const auto shortest = shrink(seed, steps);
-    for(const auto &line : run_schedule(seed, shortest)) {
+    for(const auto &line: run_schedule(seed, shortest)) {
         text += "  " + line + "\n";
     }
-    for(const auto &next : shortest) {
+    for(const auto &next: shortest) {
         text += fmt::format("    at {} ms: {}\n", to_ms(next.at), next.name);
     }
     FAIL_CHECK(text);
@@ -32,7 +32,7 @@
 } // namespace
 
 TEST_CASE("Every promise on outcomes holds under each fault alone", "[fault][single]") {
-    for(const auto &fault : fault_table()) {
+    for(const auto &fault: fault_table()) {
         answer_counts counts;
         for(std::uint64_t seed = 1; seed <= 6; ++seed) {
             check(seed, join(fault.steps(), make_load(seed, 25)), fault.name, &counts);
@@ -50,7 +50,7 @@
         for(std::size_t second = first + 1; second < table.size(); ++second) {
             const auto seed = 1'000 + first * table.size() + second;
             auto later = table[second].steps();
-            for(auto &next : later) {
+            for(auto &next: later) {
                 next.at += milliseconds{static_cast<std::int64_t>(seed * 37 % 900)};
             }
             check(seed, join(join(table[first].steps(), later), make_load(seed, 20)), table[first].name + " + " + table[second].name);
@@ -66,7 +66,7 @@
         const auto count = 1 + random() % 4;
         for(std::uint64_t index = 0; index < count; ++index) {
             const auto shift = milliseconds{static_cast<std::int64_t>(random() % 4'000)} - milliseconds{1'000};
-            for(auto next : table[random() % table.size()].steps()) {
+            for(auto next: table[random() % table.size()].steps()) {
                 next.at = std::max(duration{}, next.at + shift);
                 steps.push_back(std::move(next));
             }
@@ -78,7 +78,7 @@
 TEST_CASE("A graceful shutdown cuts off no request", "[fault][single]") {
     GIVEN("four hosts under load, one of which is shut down") {
         virtual_system system{7};
-        for(const auto *name : {"n1", "n2", "s1", "s2"}) {
+        for(const auto *name: {"n1", "n2", "s1", "s2"}) {
             const std::string domain = name[0] == 'n' ? "north" : "south";
             system.start_host(name, domain);
             system.add_target(std::string{"t-"} + name, domain, 8);
@@ -97,7 +97,7 @@
         THEN("the host goes away and every request is answered whole") {
             CHECK_FALSE(system.running("n1"));
             CHECK(system.broken_promises().empty());
-            for(const auto &caller : system.callers) {
+            for(const auto &caller: system.callers) {
                 CHECK(caller.answer.result.kind == submission::outcome_kind::complete);
             }
         }
--- a/tests/support/virtual_system.cpp
+++ b/tests/support/virtual_system.cpp
@@ -121,7 +121,7 @@
         std::vector<wire::record> records;
         if(reachable) {
             std::uint64_t offset{};
-            for(const auto &data : system.m_log[fmt::format("2.{}", system.m_host_domains[name])]) {
+            for(const auto &data: system.m_log[fmt::format("2.{}", system.m_host_domains[name])]) {
                 wire::record record;
                 record.set_offset(++offset);
                 record.set_data(data);
@@ -206,7 +206,7 @@
     }
     if(reaches_platform(name) && !found->second->paused) {
         auto hosts = m_targets;
-        for(const auto &[host, state] : m_hosts) {
+        for(const auto &[host, state]: m_hosts) {
             hosts.push_back({host, failure_domain_id{m_host_domains[host]}, false, false, {}, {}, 0});
         }
         found->second->node->host_list(std::move(hosts));
@@ -243,7 +243,7 @@
     if(found == m_hosts.end()) {
         return;
     }
-    for(auto &caller : callers) {
+    for(auto &caller: callers) {
         caller.host_died = caller.host_died || (caller.host == name && !caller.answered);
     }
     m_dead.push_back(std::move(found->second));
@@ -265,7 +265,7 @@
     const auto generation = host.generation;
     auto waiting = std::move(host.waiting);
     host.waiting.clear();
-    for(auto &action : waiting) {
+    for(auto &action: waiting) {
         on_host(name, generation, std::move(action));
     }
 }
@@ -312,11 +312,11 @@
     std::vector<config::diagnostic> diagnostics;
     config::config_state state;
     std::uint64_t offset{};
-    for(const auto &data : m_log["0."]) {
+    for(const auto &data: m_log["0."]) {
         state.apply(static_cast<log_offset>(++offset), data);
     }
-    for(const auto &text : {template_text, service_text}) {
-        for(const auto &item : config::read_declarations("test", text, diagnostics)) {
+    for(const auto &text: {template_text, service_text}) {
+        for(const auto &item: config::read_declarations("test", text, diagnostics)) {
             auto *out = change.add_items();
             out->set_kind(item.key.kind);
             out->set_name(item.key.name);
@@ -395,7 +395,7 @@
 
 bool virtual_system::settled() const {
     std::map<std::string, std::uint32_t> serving;
-    for(const auto &[name, host] : m_hosts) {
+    for(const auto &[name, host]: m_hosts) {
         const auto status = host->node->control().status(m_now);
         serving[m_host_domains.at(name)] += status.partitions_serving;
         if(!host->node->ready() || !status.lease_valid) {
@@ -411,12 +411,12 @@
 
 std::vector<std::string> virtual_system::broken_promises() const {
     std::vector<std::string> broken;
-    for(const auto &[task, count] : starts) {
+    for(const auto &[task, count]: starts) {
         if(count > 1) {
             broken.push_back(fmt::format("task started {} times: {}", count, task));
         }
     }
-    for(const auto &caller : callers) {
+    for(const auto &caller: callers) {
         if(!caller.answered) {
             if(!caller.host_died) {
                 broken.push_back(fmt::format("caller never answered: id={} host={}", caller.id.str(), caller.host));
--- a/tools/demo.cpp
+++ b/tools/demo.cpp
@@ -110,7 +110,7 @@
 void run_job(const settings &options, const workload &load, std::mt19937_64 &random, std::vector<std::unique_ptr<httplib::Client>> &clients,
              results &out) {
     std::vector<double> weights;
-    for(const auto &kind : load.kinds) {
+    for(const auto &kind: load.kinds) {
         weights.push_back(kind.weight);
     }
     const auto &kind = load.kinds[std::discrete_distribution<std::size_t>{weights.begin(), weights.end()}(random)];
@@ -187,7 +187,7 @@
         return starts;
     }
     const auto listed = json::parse(answer->body, nullptr, false);
-    for(const auto &host : listed["hosts"]) {
+    for(const auto &host: listed["hosts"]) {
         if(host.value("kind", std::string{}) != "target") {
             continue;
         }
@@ -197,7 +197,7 @@
             continue;
         }
         const auto body = json::parse(ledger->body, nullptr, false);
-        for(const auto &[task, count] : body["starts"].items()) {
+        for(const auto &[task, count]: body["starts"].items()) {
             starts[task] += count.get<std::uint64_t>();
         }
     }
@@ -207,7 +207,7 @@
 [[nodiscard]] double message_count(const settings &options) {
     constexpr std::string_view name = "\nheathermoor_peer_messages_sent_total ";
     auto total = 0.0;
-    for(const auto &address : options.hosts) {
+    for(const auto &address: options.hosts) {
         httplib::Client client{"http://" + address};
         const auto page = client.Get("/metrics");
         if(page) {
@@ -229,7 +229,7 @@
 void print_times(const std::vector<job> &jobs, const std::string &service, bool long_jobs) {
     std::vector<double> ratio;
     std::vector<double> response;
-    for(const auto &item : jobs) {
+    for(const auto &item: jobs) {
         if(item.service == service && item.outcome == "complete" && (item.longest_ms >= long_task_ms) == long_jobs) {
             ratio.push_back(item.response_ms / (item.longest_ms + 1.0));
             response.push_back(item.response_ms);
@@ -249,7 +249,7 @@
     std::size_t wrong{};
     std::size_t unanswered{};
     std::size_t resubmitted{};
-    for(const auto &item : jobs) {
+    for(const auto &item: jobs) {
         ++outcomes[item.outcome];
         ++codes[item.code];
         wrong += item.wrong_answer ? 1U : 0U;
@@ -274,10 +274,10 @@
     fmt::print("wrong or partial     {}\n", wrong);
     fmt::print("messages per task    {:.2f} (heartbeats and messages to the own host included)\n",
                messages / std::max<double>(1.0, static_cast<double>(starts.size())));
-    for(const auto &[code, count] : codes) {
+    for(const auto &[code, count]: codes) {
         fmt::print("  code {:<22} {}\n", code, count);
     }
-    for(const auto &load : workloads) {
+    for(const auto &load: workloads) {
         print_times(jobs, load.service, false);
         print_times(jobs, load.service, true);
     }
@@ -313,7 +313,7 @@
             callers.emplace_back([&, index, which] {
                 std::mt19937_64 random{options.seed * 1000 + static_cast<std::uint64_t>(index) * 10 + which};
                 std::vector<std::unique_ptr<httplib::Client>> clients;
-                for(const auto &address : options.hosts) {
+                for(const auto &address: options.hosts) {
                     clients.push_back(std::make_unique<httplib::Client>("http://" + address));
                     clients.back()->set_keep_alive(true);
                     clients.back()->set_tcp_nodelay(true);
@@ -334,7 +334,7 @@
     }
     std::this_thread::sleep_for(seconds{std::max(options.seconds - options.kill_after_s, 0)});
     stopped = true;
-    for(auto &caller : callers) {
+    for(auto &caller: callers) {
         caller.join();
     }
     std::this_thread::sleep_for(seconds{2});
