--- /dev/null
+++ b/tests/fault/directed.cpp
@@ -0,0 +1,94 @@
+#include "support/virtual_system.hpp"
+#include <catch2/catch.hpp>
+#include <fmt/format.h>
+
+using namespace heathermoor;
+using namespace heathermoor::test;
+
+namespace {
+
+/// Starts hosts n1 to n3 and s1, with targets everywhere.
+void settle(virtual_system &system) {
+    for(const auto *name: {"n1", "n2", "n3", "s1"}) {
+        const std::string domain = name[0] == 'n' ? "north" : "south";
+        system.start_host(name, domain);
+        system.add_target(std::string{"t-"} + name, domain, 64);
+    }
+    publish_example(system);
+    REQUIRE(system.run_until([&] { return system.settled(); }, seconds{20}));
+    system.run_for(seconds{5});
+}
+
+void check_promises(const virtual_system &system) {
+    for(const auto &line: system.broken_promises()) {
+        FAIL_CHECK(line);
+    }
+}
+
+} // namespace
+
+TEST_CASE("A claimant asks the peers that remember, not only itself and the journal", "[fault][directed]") {
+    for(std::uint64_t seed = 1; seed <= 5; ++seed) {
+        virtual_system system{seed};
+        settle(system);
+        GIVEN(fmt::format("submissions that no journal holds yet when their owner is killed, seed {}", seed)) {
+            for(const auto *victim: {"n2", "n3"}) {
+                for(auto index = 0; index < 80; ++index) {
+                    system.submit("s1", submission_id{fmt::format("ds1.north.{}-{}", victim, index)}, 1, seconds{8}, 400.0);
+                }
+                system.run_for(milliseconds{20});
+                system.kill_host(victim);
+                system.run_for(seconds{6});
+                for(auto index = 0; index < 80; ++index) {
+                    system.submit("s1", submission_id{fmt::format("ds1.north.{}-{}", victim, index)}, 1, seconds{4}, 400.0);
+                }
+                system.run_for(seconds{9});
+            }
+            THEN("none of them runs again") {
+                check_promises(system);
+            }
+        }
+    }
+}
+
+TEST_CASE("A claimant waits until the former owner's evidence has lapsed", "[fault][directed]") {
+    for(std::uint64_t seed = 1; seed <= 5; ++seed) {
+        virtual_system system{seed};
+        settle(system);
+        GIVEN(fmt::format("an owner that one peer no longer hears, under steady submissions, seed {}", seed)) {
+            system.cut_hosts("n1", "n2", true);
+            for(auto index = 0; index < 2'000; ++index) {
+                system.submit("n1", submission_id{fmt::format("ds1.north.steady-{}", index)}, 1, seconds{6}, 30.0);
+                system.run_for(milliseconds{2});
+                if(index >= 60) {
+                    system.submit("n2", submission_id{fmt::format("ds1.north.steady-{}", index - 60)}, 1, seconds{6}, 30.0);
+                }
+            }
+            system.run_for(seconds{12});
+            THEN("no submission runs at both") {
+                check_promises(system);
+            }
+        }
+    }
+}
+
+TEST_CASE("A new process under an old name takes no answer of its predecessor's", "[fault][directed]") {
+    virtual_system system{1};
+    settle(system);
+    GIVEN("a host that is replaced at once while its tasks run") {
+        for(auto index = 0; index < 40; ++index) {
+            system.submit("n1", system.mint("n1"), 1, seconds{8}, 1'500.0);
+        }
+        system.run_for(milliseconds{100});
+        system.kill_host("n1");
+        system.start_host("n1", "north");
+        system.run_for(milliseconds{700});
+        for(auto index = 0; index < 40; ++index) {
+            system.submit("n1", system.mint("n1"), 1, seconds{8}, 2'500.0);
+        }
+        system.run_for(seconds{12});
+        THEN("every caller gets its own answer") {
+            check_promises(system);
+        }
+    }
+}
