Leave out of four heartbeats in five what seldom changes

Change: addresses, weight and configuration hash travel in every fifth heartbeat; the page has a row for the sum.

--- a/bench/slopes/main.cpp
+++ b/bench/slopes/main.cpp
@@ -266,7 +266,7 @@
     return points;
 }
 
-[[nodiscard]] std::vector<point> heartbeat_bytes() {
+[[nodiscard]] std::vector<point> heartbeat_bytes(bool full) {
     std::vector<point> points;
     for(const int pools: {1, 4, 16}) {
         auto message = submit_message(1);
@@ -274,12 +274,14 @@
         for(auto pool = 0; pool < pools; ++pool) {
             *beat.add_load() = host::to_wire(pool_id{fmt::format("pool-{}", pool)}, {100.0, 1'000.0, 500.0, 64, 12, 9});
         }
-        beat.set_config_hash("0123456789abcdef");
-        beat.set_peer_address("tcp://10.0.0.1:8090");
-        beat.set_http_address("10.0.0.1:8080");
+        if(full) {
+            beat.set_config_hash("0123456789abcdef");
+            beat.set_peer_address("tcp://10.0.0.1:8090");
+            beat.set_http_address("10.0.0.1:8080");
+            beat.set_weight(1.0);
+        }
         beat.set_config_offset(1'000'000);
         beat.set_ownership_offset(1'000'000);
-        beat.set_weight(1.0);
         beat.set_log_evidence(true);
         beat.set_no_claim(true);
         beat.set_log_age_ms(200);
@@ -521,7 +523,8 @@
     put(slopes, "waiting_bytes", "bytes", "waiting task", waiting_bytes());
     put(slopes, "message_us", "us", "task of a message", message_us());
     put(slopes, "message_bytes", "bytes", "task of a message", message_bytes());
-    put(slopes, "heartbeat_bytes", "bytes", "pool", heartbeat_bytes());
+    put(slopes, "heartbeat_bytes", "bytes", "pool", heartbeat_bytes(true));
+    put(slopes, "short_heartbeat_bytes", "bytes", "pool, four of five heartbeats", heartbeat_bytes(false));
     put(slopes, "membership_us", "us", "host, for each host and second", membership_us());
     put(slopes, "far_peers", "peers", "host of another failure domain", far_beats());
     put(slopes, "job_us", "us", "task of a job, all roles", job_us());
--- a/src/heathermoor/host/control_role.cpp
+++ b/src/heathermoor/host/control_role.cpp
@@ -79,10 +79,10 @@
     const auto &beat = message.beat();
     peer->draining = beat.draining();
     peer->config_offset = beat.config_offset();
-    peer->config_hash = beat.config_hash();
-    peer->http_address = beat.http_address();
-    peer->weight = beat.weight();
-    if(!beat.peer_address().empty()) {
+    if(beat.weight() > 0.0) {
+        peer->config_hash = beat.config_hash();
+        peer->http_address = beat.http_address();
+        peer->weight = beat.weight();
         m_seeds[from] = beat.peer_address();
     }
     peer->load.clear();
@@ -252,7 +252,8 @@
     apply_keeper(std::move(found), effects);
 }
 
-wire::heartbeat control_role::make_heartbeat(const host_id &to, const std::map<pool_id, placement::pool_load> &load, time_point now) {
+wire::heartbeat control_role::make_heartbeat(const host_id &to, const std::map<pool_id, placement::pool_load> &load, bool full,
+                                             time_point now) {
     const std::lock_guard lock{m_mutex};
     wire::heartbeat beat;
     for(const auto &[pool, summary]: load) {
@@ -260,10 +261,12 @@
     }
     beat.set_draining(m_draining);
     beat.set_config_offset(m_config.complete() ? raw(m_config.next_offset()) - 1 : 0);
-    beat.set_config_hash(m_config.hash());
-    beat.set_http_address(m_options.http_address);
-    beat.set_peer_address(m_options.peer_address);
-    beat.set_weight(m_options.weight);
+    if(full) {
+        beat.set_config_hash(m_config.hash());
+        beat.set_http_address(m_options.http_address);
+        beat.set_peer_address(m_options.peer_address);
+        beat.set_weight(m_options.weight);
+    }
     const auto age = now - m_direct_read;
     beat.set_log_evidence(m_ownership_read && age < m_options.keeper.evidence_period);
     beat.set_log_age_ms(static_cast<std::uint32_t>(to_ms(age)) + 1);
--- a/src/heathermoor/host/control_role.hpp
+++ b/src/heathermoor/host/control_role.hpp
@@ -106,9 +106,11 @@
     /// @brief Makes the heartbeat for one peer.
     /// @param to Peer.
     /// @param load Load of this host.
+    /// @param full Whether the fields that seldom change are due.
     /// @param now Current time.
     /// @return Heartbeat.
-    [[nodiscard]] wire::heartbeat make_heartbeat(const host_id &to, const std::map<pool_id, placement::pool_load> &load, time_point now);
+    [[nodiscard]] wire::heartbeat make_heartbeat(const host_id &to, const std::map<pool_id, placement::pool_load> &load, bool full,
+                                                 time_point now);
 
     /// @brief Hosts that get heartbeats: all of the own failure domain, and of each
     /// neighbouring one those two that rendezvous hashing pairs with this host.
--- a/src/heathermoor/host/node.cpp
+++ b/src/heathermoor/host/node.cpp
@@ -8,6 +8,7 @@
 namespace internal {
 
 constexpr duration connect_interval = milliseconds{500};
+constexpr std::uint64_t full_heartbeat_every = 5;
 
 } // namespace internal
 
@@ -197,10 +198,13 @@
 
 void node::send_heartbeats(time_point now) {
     const auto load = m_dispatch.load();
-    const auto far = m_heartbeats++ % std::max(m_options.far_heartbeat_every, 1U) == 0;
+    const auto far_every = std::max(m_options.far_heartbeat_every, 1U);
+    const auto far = m_heartbeats % far_every == 0;
+    const auto full = (m_heartbeats / (far ? far_every : 1U)) % internal::full_heartbeat_every == 0;
+    ++m_heartbeats;
     for(const auto &peer: m_control.peers(far)) {
         wire::envelope message;
-        *message.mutable_beat() = m_control.make_heartbeat(peer, load, now);
+        *message.mutable_beat() = m_control.make_heartbeat(peer, load, full, now);
         send(peer, std::move(message));
         if(const auto records = m_control.relay_for(peer)) {
             wire::envelope relay;
--- a/tools/capacity.cpp
+++ b/tools/capacity.cpp
@@ -157,8 +157,9 @@
     const auto hosts = domains * hosts_per_domain;
     const auto jobs = starts_per_s / tasks_per_job / hosts;
     const auto services = teams * services_per_team;
-    const auto beat = out.at("heartbeat_bytes", 2.0);
-    const auto mesh_bytes = beat * beats_per_s * (hosts - 1);
+    const auto full_beat = out.at("heartbeat_bytes", 2.0);
+    const auto beat = (full_beat + 4.0 * out.at("short_heartbeat_bytes", 2.0)) / 5.0;
+    const auto mesh_bytes = full_beat * beats_per_s * (hosts - 1);
     const auto mesh_cpu = out.at("membership_us", hosts) / 1e6;
     const auto far_peers = out.at("far_peers", hosts_per_domain) * (domains / regions - 1.0);
     const auto near_bytes = beat * (beats_per_s * (hosts_per_domain - 1) + far_beats_per_s * far_peers);
@@ -200,6 +201,9 @@
             change_cpu * busy_factor < cpu_limit, "batch the records of one read into one resolved policy");
     out.row("configuration: bytes", fmt::format("{:.1f} KB/s", change_bytes / 1e3), "10 KB/s", change_bytes < bytes_limit,
             "each record is read once by long poll, or passed on by a peer");
+    const auto control_bytes = near_bytes + journal_bytes + change_bytes;
+    out.row("**control bytes, sum**", fmt::format("{:.1f} KB/s", control_bytes / 1e3), "10 KB/s", control_bytes < bytes_limit,
+            "four of five heartbeats leave out what seldom changes");
     out.row("configuration: memory", fmt::format("{:.0f} MB", config_mb), "128 MB", config_mb < memory_limit_mb,
             "documents and resolved services are shared between versions");
     out.row("snapshot", fmt::format("{:.0f} KB, started from in {:.1f} s", snapshot_kb, start_s), "13 s", start_s < in_force_s,
