--- a/src/heathermoor/host/control_role.cpp
+++ b/src/heathermoor/host/control_role.cpp
@@ -287,11 +287,8 @@
         const auto &others = m_map.members(domain);
         for(const auto &[host, joined]: others) {
             const auto near = domain == m_options.domain;
-            const auto exchanges = [&] {
-                return internal::is_neighbour(m_options, domain) &&
-                       (internal::is_gateway(host, others, m_options.host) || internal::is_gateway(m_options.host, own, host));
-            };
-            if(near || (far && exchanges())) {
+            const auto paired = internal::is_gateway(host, others, m_options.host) || internal::is_gateway(m_options.host, own, host);
+            if(near || (far && paired && internal::is_neighbour(m_options, domain))) {
                 names.insert(host);
             }
         }
