End the demo's resubmissions after nine seconds

Cause: a caller with a host-minted id of the killed host resubmitted twelve times with a deadline of 8 s, so that the demo ran for about 100 s.

Change: deadline 4 s, resubmissions for at most 9 s.

--- a/tools/demo.cpp
+++ b/tools/demo.cpp
@@ -23,6 +23,7 @@
 constexpr int status_ok = 200;
 constexpr int max_attempts = 12;
 constexpr milliseconds resubmit_delay{300};
+constexpr seconds resubmit_limit{9};
 constexpr double long_task_ms = 800.0;
 constexpr int ready_attempts = 200;
 
@@ -124,7 +125,7 @@
     json body{{"customer", item.customer},
               {"service", load.service},
               {"submission_id", item.id},
-              {"deadline_ms", 8000},
+              {"deadline_ms", 4000},
               {"tasks", json::array()}};
     std::lognormal_distribution<double> run_time{std::log(kind.median_ms), 0.4};
     for(std::size_t index = 0; index < item.tasks; ++index) {
@@ -135,7 +136,7 @@
     const auto text = body.dump();
     const auto begun = steady::now();
     const httplib::Headers headers{{"Authorization", "Bearer " + item.customer + "-token"}};
-    while(item.attempts < max_attempts) {
+    while(item.attempts < max_attempts && steady::now() - begun < resubmit_limit) {
         ++item.attempts;
         const auto answer = clients[host]->Post("/v1/jobs", headers, text, "application/json");
         if(answer) {
