--- /dev/null
+++ b/src/heathermoor/adapter/http_server.cpp
@@ -0,0 +1,258 @@
+#include "heathermoor/adapter/http_server.hpp"
+
+#include "heathermoor/core/id.hpp"
+#include "heathermoor/core/log.hpp"
+#include <array>
+#include <asio/buffer.hpp>
+#include <asio/write.hpp>
+#include <charconv>
+#include <fmt/format.h>
+
+namespace heathermoor::adapter {
+
+namespace internal {
+
+/// Bytes read at once.
+constexpr std::size_t read_bytes = 4'096;
+
+/// Bytes of further requests kept while one is open.
+constexpr std::size_t pending_limit = 65'536;
+
+/// Connections waiting to be accepted.
+constexpr int listen_backlog = 1'024;
+
+[[nodiscard]] std::string format_response(const http_response &response, bool close) {
+    auto text = fmt::format("HTTP/1.1 {} {}\r\nContent-Length: {}\r\n", response.status, http_reason(response.status), response.body.size());
+    for(const auto &[name, value]: response.headers) {
+        text += fmt::format("{}: {}\r\n", name, value);
+    }
+    if(close) {
+        text += "Connection: close\r\n";
+    }
+    text += "\r\n";
+    text += response.body;
+    return text;
+}
+
+[[nodiscard]] asio::ip::tcp::endpoint parse_endpoint(const std::string &address, std::error_code &error) {
+    const auto colon = address.rfind(':');
+    std::uint16_t port = 0;
+    if(colon == std::string::npos) {
+        error = std::make_error_code(std::errc::invalid_argument);
+        return {};
+    }
+    const auto *end = address.data() + address.size();
+    const auto result = std::from_chars(address.data() + colon + 1, end, port);
+    if(result.ec != std::errc{} || result.ptr != end) {
+        error = std::make_error_code(std::errc::invalid_argument);
+        return {};
+    }
+    return {asio::ip::make_address(address.substr(0, colon), error), port};
+}
+
+} // namespace internal
+
+class http_server::connection : public std::enable_shared_from_this<connection> {
+  public:
+    connection(http_server &server, asio::ip::tcp::socket socket)
+        : m_server{server}, m_socket{std::move(socket)}, m_touched{server.m_now}, m_reader{http_reader::kind::request} {}
+
+    void read() {
+        m_reading = true;
+        m_socket.async_read_some(asio::buffer(m_buffer), [self = shared_from_this()](std::error_code error, std::size_t length) {
+            self->m_reading = false;
+            self->received(error, length);
+        });
+    }
+
+    void respond(const http_response &response) {
+        m_request = 0;
+        m_close = m_close || m_server.m_stopping;
+        m_output = internal::format_response(response, m_close);
+        m_writing = true;
+        asio::async_write(m_socket, asio::buffer(m_output), [self = shared_from_this()](std::error_code error, std::size_t) {
+            self->m_writing = false;
+            self->sent(error);
+        });
+    }
+
+    void expire(time_point now) {
+        if(m_request != 0 || m_writing) {
+            m_touched = now;
+            return;
+        }
+        const bool slow = m_reader.started() && now - m_touched > m_server.m_limits.header_timeout;
+        const bool idle = !m_reader.started() && (now - m_touched > m_server.m_limits.idle_timeout);
+        if(slow) {
+            m_close = true;
+            respond({408, {}, {}});
+        } else if(idle) {
+            shut();
+        }
+    }
+
+    void shut() {
+        std::error_code ignored;
+        m_socket.shutdown(asio::ip::tcp::socket::shutdown_both, ignored);
+        m_socket.close(ignored);
+        const auto self = shared_from_this();
+        if(m_request != 0) {
+            const auto request = std::exchange(m_request, 0);
+            m_server.m_requests.erase(request);
+            m_server.m_abandoned(http_request_id{request});
+        }
+        m_server.remove(self);
+    }
+
+  private:
+    void received(std::error_code error, std::size_t length) {
+        if(error) {
+            shut();
+            return;
+        }
+        if(m_pending.empty() && !m_reader.started() && m_request == 0) {
+            m_touched = m_server.m_now;
+        }
+        m_pending.append(m_buffer.data(), length);
+        if(m_request == 0 && !m_writing) {
+            parse();
+        }
+        if(m_socket.is_open() && !m_reading && m_pending.size() < internal::pending_limit) {
+            read();
+        }
+    }
+
+    void parse() {
+        if(m_pending.empty()) {
+            return;
+        }
+        const auto &limits = m_server.m_limits;
+        m_reader.set_limits(limits.header_bytes, limits.body_bytes);
+        const auto taken = m_reader.read(m_pending);
+        m_pending.erase(0, taken);
+        if(m_reader.complete()) {
+            auto message = m_reader.take();
+            m_close = m_close || !message.keep_alive;
+            m_request = m_server.m_next_request++;
+            m_server.m_requests.emplace(m_request, weak_from_this());
+            m_server.m_handle(http_request_id{m_request}, std::move(message));
+            return;
+        }
+        switch(m_reader.error()) {
+        case http_parse_error::none:
+            break;
+        case http_parse_error::malformed:
+            m_close = true;
+            respond({400, {}, {}});
+            break;
+        case http_parse_error::header_too_large:
+            m_close = true;
+            respond({431, {}, {}});
+            break;
+        case http_parse_error::body_too_large:
+            m_close = true;
+            respond({413, {}, {}});
+            break;
+        }
+    }
+
+    void sent(std::error_code error) {
+        if(error || m_close) {
+            shut();
+            return;
+        }
+        m_output.clear();
+        m_touched = m_server.m_now;
+        parse();
+        if(m_socket.is_open() && !m_reading) {
+            read();
+        }
+    }
+
+    http_server &m_server;
+    asio::ip::tcp::socket m_socket;
+    time_point m_touched;
+    http_reader m_reader;
+    std::array<char, internal::read_bytes> m_buffer{};
+    std::string m_pending;
+    std::string m_output;
+    std::uint64_t m_request{};
+    bool m_reading{};
+    bool m_writing{};
+    bool m_close{};
+};
+
+http_server::http_server(asio::io_context &context, request_handler handle, abandon_handler abandoned)
+    : m_acceptor{context}, m_handle{std::move(handle)}, m_abandoned{std::move(abandoned)} {}
+
+http_server::~http_server() = default;
+
+std::uint16_t http_server::listen(const std::string &address, std::error_code &error) {
+    const auto endpoint = internal::parse_endpoint(address, error);
+    if(error) {
+        return 0;
+    }
+    m_acceptor.open(endpoint.protocol(), error);
+    if(error) {
+        return 0;
+    }
+    m_acceptor.set_option(asio::socket_base::reuse_address{true}, error);
+    m_acceptor.bind(endpoint, error);
+    if(error) {
+        return 0;
+    }
+    m_acceptor.listen(internal::listen_backlog, error);
+    if(error) {
+        return 0;
+    }
+    accept();
+    return m_acceptor.local_endpoint().port();
+}
+
+void http_server::accept() {
+    m_acceptor.async_accept([this](std::error_code error, asio::ip::tcp::socket socket) {
+        if(error == asio::error::operation_aborted) {
+            return;
+        }
+        if(!error) {
+            std::error_code ignored;
+            socket.set_option(asio::ip::tcp::no_delay{true}, ignored);
+            auto created = std::make_shared<connection>(*this, std::move(socket));
+            m_connections.emplace(created.get(), created);
+            created->read();
+        } else {
+            log(log_level::warning, "http", "Accepting a connection failed. error={}", error.message());
+        }
+        accept();
+    });
+}
+
+void http_server::remove(const std::shared_ptr<connection> &closed) {
+    m_connections.erase(closed.get());
+}
+
+void http_server::reply(http_request_id request, const http_response &response) {
+    const auto found = m_requests.find(raw(request));
+    if(found == m_requests.end()) {
+        return;
+    }
+    const auto asker = found->second.lock();
+    m_requests.erase(found);
+    if(asker) {
+        asker->respond(response);
+    }
+}
+
+void http_server::expire(time_point now) {
+    m_now = now;
+    std::vector<std::shared_ptr<connection>> all;
+    all.reserve(m_connections.size());
+    for(const auto &[key, open]: m_connections) {
+        all.push_back(open);
+    }
+    for(const auto &open: all) {
+        open->expire(now);
+    }
+}
+
+} // namespace heathermoor::adapter
--- a/src/heathermoor/adapter/system_clock_port.hpp
+++ b/src/heathermoor/adapter/system_clock_port.hpp
@@ -1,14 +1,20 @@
 #pragma once
 
 #include "heathermoor/port/ports.hpp"
+#include <ctime>
 
 namespace heathermoor::adapter {
 
 /// @brief Clock of the machine.
+///
+/// The monotonic time includes the time for which the machine was suspended, so
+/// that leases of a host that wakes up are seen to have passed.
 class system_clock_port final : public port::clock_port {
   public:
     [[nodiscard]] time_point now() const override {
-        return time_point{std::chrono::duration_cast<duration>(std::chrono::steady_clock::now().time_since_epoch())};
+        timespec value{};
+        (void)::clock_gettime(CLOCK_BOOTTIME, &value);
+        return time_point{std::chrono::duration_cast<duration>(std::chrono::seconds{value.tv_sec} + std::chrono::nanoseconds{value.tv_nsec})};
     }
 
     [[nodiscard]] std::chrono::milliseconds unix_now() const override {
--- /dev/null
+++ b/src/heathermoor/catalog/target_catalog.cpp
@@ -0,0 +1,85 @@
+#include "heathermoor/catalog/target_catalog.hpp"
+
+#include <algorithm>
+
+namespace heathermoor::catalog {
+
+namespace internal {
+
+/// Time in which a lapsed entry of a living target comes back: the platform
+/// promises two seconds after its list's return.
+constexpr milliseconds removal_grace{2'500};
+
+} // namespace internal
+
+void target_catalog::apply(const catalog_record &record, time_point now) {
+    const auto found = m_slots.find(record.id);
+    if(found != m_slots.end() && record.offset < found->second.offset) {
+        found->second.in_snapshot = true;
+        return;
+    }
+    if(!record.entry) {
+        if(found != m_slots.end() && !found->second.removed_at) {
+            found->second.offset = record.offset;
+            found->second.removed_at = now;
+        }
+        return;
+    }
+    auto &slot = m_slots[record.id];
+    if(slot.entry != *record.entry) {
+        ++m_revision;
+    }
+    slot.offset = record.offset;
+    slot.entry = *record.entry;
+    slot.removed_at.reset();
+    slot.in_snapshot = true;
+}
+
+void target_catalog::read_to(log_offset next) noexcept {
+    m_next = std::max(m_next, next);
+}
+
+void target_catalog::begin_snapshot() noexcept {
+    for(auto &[id, slot]: m_slots) {
+        slot.in_snapshot = false;
+    }
+}
+
+void target_catalog::end_snapshot(time_point now) {
+    for(auto &[id, slot]: m_slots) {
+        if(!slot.in_snapshot && !slot.removed_at) {
+            slot.removed_at = now;
+        }
+    }
+}
+
+bool target_catalog::expire(time_point now) {
+    const auto dropped = std::erase_if(m_slots, [now](const auto &item) {
+        const auto &removed_at = item.second.removed_at;
+        return removed_at && now - *removed_at >= internal::removal_grace;
+    });
+    m_revision += dropped;
+    return dropped > 0;
+}
+
+std::vector<target_entry> target_catalog::entries() const {
+    std::vector<target_entry> result;
+    result.reserve(m_slots.size());
+    for(const auto &[id, slot]: m_slots) {
+        result.push_back(slot.entry);
+    }
+    return result;
+}
+
+std::vector<catalog_record> target_catalog::records() const {
+    std::vector<catalog_record> result;
+    result.reserve(m_slots.size());
+    for(const auto &[id, slot]: m_slots) {
+        if(!slot.removed_at) {
+            result.push_back({slot.offset, id, slot.entry});
+        }
+    }
+    return result;
+}
+
+} // namespace heathermoor::catalog
--- a/src/heathermoor/core/error.cpp
+++ b/src/heathermoor/core/error.cpp
@@ -54,6 +54,16 @@
     error_entry{errc::invalid_setting, "invalid_setting", 400, "a setting is not valid"},
     error_entry{errc::peer_unreachable, "peer_unreachable", 503, "a peer host did not answer"},
     error_entry{errc::stale_message, "stale_message", 503, "a message arrived after its validity"},
+    error_entry{errc::route_not_found, "route_not_found", 404, "no queue matches the host and path"},
+    error_entry{errc::not_configured, "not_configured", 503, "the host has no configuration yet"},
+    error_entry{errc::not_supported, "not_supported", 503, "the job asks for a feature that is not offered; it has not run"},
+    error_entry{errc::header_too_large, "header_too_large", 431, "the request header exceeds the size limit"},
+    error_entry{errc::client_closed, "client_closed", 499, "the caller closed its connection"},
+    error_entry{errc::no_leader, "no_leader", 503, "no host schedules the pool at the moment; the job has not run"},
+    error_entry{errc::leader_lost, "leader_lost", 504, "the host that scheduled the job was lost; the job may have run"},
+    error_entry{errc::attempts_exhausted, "attempts_exhausted", 502, "a task failed as often as its queue allows"},
+    error_entry{errc::store_unavailable, "store_unavailable", 503, "the platform's store did not answer"},
+    error_entry{errc::history_lost, "history_lost", 410, "the records asked for are no longer kept"},
 };
 
 static_assert(entries.size() == static_cast<std::size_t>(errc::last) + 1);
--- a/src/heathermoor/core/error.hpp
+++ b/src/heathermoor/core/error.hpp
@@ -46,7 +46,17 @@
     invalid_setting,
     peer_unreachable,
     stale_message,
-    last = stale_message,
+    route_not_found,
+    not_configured,
+    not_supported,
+    header_too_large,
+    client_closed,
+    no_leader,
+    leader_lost,
+    attempts_exhausted,
+    store_unavailable,
+    history_lost,
+    last = history_lost,
 };
 
 /// @brief Category of the product's errors.
--- a/src/heathermoor/core/id.hpp
+++ b/src/heathermoor/core/id.hpp
@@ -43,6 +43,9 @@
 using submission_id = basic_id<struct submission_tag>;
 using request_name = basic_id<struct request_tag>;
 using pool_id = basic_id<struct pool_tag>;
+using job_id = basic_id<struct job_tag>;
+using queue_id = basic_id<struct queue_tag>;
+using machine_id = basic_id<struct machine_tag>;
 
 /// @brief Distinguishes successive processes that use one host name.
 enum class incarnation : std::uint64_t {};
@@ -62,6 +65,24 @@
 /// @brief Names a job at its owner; unique within one process.
 enum class job_handle : std::uint64_t {};
 
+/// @brief Token of a holder of a target; the target ignores orders with a lower one than it has seen.
+enum class fencing_token : std::uint64_t {};
+
+/// @brief Number of one run of a task; later runs have higher numbers.
+enum class run_number : std::uint64_t {};
+
+/// @brief Number of an ended run in a target's list; counts from one in each boot.
+enum class end_number : std::uint64_t {};
+
+/// @brief Tells the boots of one target apart: its start in milliseconds since the Unix epoch.
+enum class target_boot : std::int64_t {};
+
+/// @brief Period in which one host schedules the shared pool.
+enum class leader_term : std::uint64_t {};
+
+/// @brief Version of the operators' configuration.
+enum class config_version : std::uint64_t {};
+
 /// @brief Underlying number of a strong integer.
 /// @param value Strong integer.
 /// @return The same value as a plain integer.
--- /dev/null
+++ b/src/heathermoor/election/leader_election.cpp
@@ -0,0 +1,137 @@
+#include "heathermoor/election/leader_election.hpp"
+
+#include <algorithm>
+#include <tuple>
+
+namespace heathermoor::election {
+
+namespace internal {
+
+/// Silence after which a host counts as gone: four heartbeats.
+constexpr milliseconds detection_time{400};
+
+/// Time without a leader before one is chosen, so that heartbeats in flight arrive.
+constexpr milliseconds settle_time{60};
+
+/// Time after the start of a process in which it only listens.
+constexpr milliseconds start_time{400};
+
+/// Time that a better candidate has to begin before this host does.
+constexpr milliseconds yield_time{500};
+
+/// Delay of own timers above which a host leaves the lead to others.
+constexpr milliseconds heavy_lag{150};
+
+/// Time after which a silent host no longer counts as a member.
+constexpr seconds membership_time{60};
+
+/// Two leaders that hear the same number of hosts: the longer lead wins by this much at least.
+constexpr milliseconds lead_margin{1'000};
+
+} // namespace internal
+
+leader_election::leader_election(peer_state self, time_point now)
+    : m_self{std::move(self)}, m_leaderless_since{now + internal::start_time}, m_leading_since{now} {}
+
+void leader_election::heard(const peer_state &peer, time_point now) {
+    if(peer.id == m_self.id) {
+        return;
+    }
+    m_peers[peer.id] = {peer, now, true};
+}
+
+void leader_election::lost(const host_id &host) {
+    const auto found = m_peers.find(host);
+    if(found != m_peers.end()) {
+        found->second.connected = false;
+    }
+}
+
+void leader_election::left(const host_id &host) {
+    m_peers.erase(host);
+}
+
+bool leader_election::is_alive(const known_peer &peer, time_point now) const noexcept {
+    return peer.connected && now - peer.heard_at < internal::detection_time;
+}
+
+std::vector<host_id> leader_election::alive(time_point now) const {
+    std::vector<host_id> result;
+    for(const auto &[id, peer]: m_peers) {
+        if(is_alive(peer, now)) {
+            result.push_back(id);
+        }
+    }
+    return result;
+}
+
+std::vector<std::pair<host_id, failure_domain_id>> leader_election::members() const {
+    std::vector<std::pair<host_id, failure_domain_id>> result{{m_self.id, m_self.domain}};
+    for(const auto &[id, peer]: m_peers) {
+        result.emplace_back(id, peer.state.domain);
+    }
+    return result;
+}
+
+std::optional<peer_state> leader_election::best_leader(time_point now) const {
+    std::optional<peer_state> best;
+    const auto better = [](const peer_state &left, const peer_state &right) {
+        if(left.hears != right.hears) {
+            return left.hears > right.hears;
+        }
+        const auto difference = left.leading_for - right.leading_for;
+        if(difference > internal::lead_margin || difference < -internal::lead_margin) {
+            return difference > duration::zero();
+        }
+        return left.id < right.id;
+    };
+    const bool only_draining = best_candidate(now).draining;
+    const auto consider = [&](const peer_state &peer) {
+        if(peer.leading && peer.draining == only_draining && (!best || better(peer, *best))) {
+            best = peer;
+        }
+    };
+    for(const auto &[id, peer]: m_peers) {
+        if(is_alive(peer, now)) {
+            consider(peer.state);
+        }
+    }
+    consider(m_self);
+    return best;
+}
+
+peer_state leader_election::best_candidate(time_point now) const {
+    const auto key = [](const peer_state &peer) { return std::tuple{peer.draining, peer.lag > internal::heavy_lag, peer.id}; };
+    auto best = m_self;
+    for(const auto &[id, peer]: m_peers) {
+        if(is_alive(peer, now) && key(peer.state) < key(best)) {
+            best = peer.state;
+        }
+    }
+    return best;
+}
+
+std::optional<host_id> leader_election::decide(time_point now) {
+    std::erase_if(m_peers, [now](const auto &item) { return now - item.second.heard_at > internal::membership_time; });
+    m_self.hears = static_cast<std::uint32_t>(alive(now).size()) + 1;
+    m_self.leading_for = m_self.leading ? now - m_leading_since : duration::zero();
+    const auto leader = best_leader(now);
+    if(leader) {
+        m_self.leading = leader->id == m_self.id;
+        m_leaderless_since = now;
+        return leader->id;
+    }
+    m_self.leading = false;
+    const auto waited = now - m_leaderless_since;
+    const auto candidate = best_candidate(now);
+    const bool first = candidate.id == m_self.id;
+    const auto patience = first ? internal::settle_time : internal::settle_time + internal::yield_time;
+    if((m_self.draining && !candidate.draining) || waited < patience) {
+        return std::nullopt;
+    }
+    m_self.leading = true;
+    m_leading_since = now;
+    return m_self.id;
+}
+
+} // namespace heathermoor::election
--- /dev/null
+++ b/src/heathermoor/election/leader_election.hpp
@@ -0,0 +1,95 @@
+#pragma once
+
+#include "heathermoor/core/id.hpp"
+#include "heathermoor/core/time.hpp"
+#include <map>
+#include <optional>
+#include <vector>
+
+namespace heathermoor::election {
+
+/// @brief What a host says of itself in each heartbeat.
+struct peer_state {
+    host_id id;
+    failure_domain_id domain;
+    incarnation process{};
+    /// The host is shutting down and takes no new role.
+    bool draining{};
+    /// The host schedules the pool.
+    bool leading{};
+    /// Number of hosts that it hears, itself included.
+    std::uint32_t hears{1};
+    /// Delay of the host's own timers lately; large on an overloaded host.
+    duration lag{};
+    /// Time since the host began to lead.
+    duration leading_for{};
+};
+
+/// @brief Chooses the host that schedules the pool, from heartbeats alone.
+///
+/// Hosts need not agree: a target's fence keeps two schedulers apart. A leader
+/// stays while it is heard, so that the role changes hands only for a cause.
+class leader_election {
+  public:
+    /// @brief Election as one host sees it.
+    /// @param self Own state.
+    /// @param now Current time.
+    leader_election(peer_state self, time_point now);
+
+    /// @brief Takes over a heartbeat.
+    /// @param peer State of the sender.
+    /// @param now Current time.
+    void heard(const peer_state &peer, time_point now);
+
+    /// @brief Notes that the connection to a host has ended.
+    /// @param host Host.
+    void lost(const host_id &host);
+
+    /// @brief Forgets a host that has said that it leaves.
+    /// @param host Host.
+    void left(const host_id &host);
+
+    /// @brief Changes the own state.
+    /// @return Own state.
+    [[nodiscard]] peer_state &self() noexcept { return m_self; }
+
+    /// @brief Own state.
+    /// @return Own state.
+    [[nodiscard]] const peer_state &self() const noexcept { return m_self; }
+
+    /// @brief Decides anew.
+    /// @param now Current time.
+    /// @return Leader as this host sees it; none while it is not settled.
+    std::optional<host_id> decide(time_point now);
+
+    /// @brief Hosts that are heard, without the own one.
+    /// @param now Current time.
+    /// @return Hosts.
+    [[nodiscard]] std::vector<host_id> alive(time_point now) const;
+
+    /// @brief Number of hosts heard within the last minute, the own one included.
+    /// @return Number of hosts.
+    [[nodiscard]] std::uint32_t known() const noexcept { return static_cast<std::uint32_t>(m_peers.size()) + 1; }
+
+    /// @brief Hosts known, the own one included.
+    /// @return Hosts and failure domains.
+    [[nodiscard]] std::vector<std::pair<host_id, failure_domain_id>> members() const;
+
+  private:
+    struct known_peer {
+        peer_state state;
+        time_point heard_at;
+        bool connected{true};
+    };
+
+    [[nodiscard]] bool is_alive(const known_peer &peer, time_point now) const noexcept;
+    [[nodiscard]] std::optional<peer_state> best_leader(time_point now) const;
+    [[nodiscard]] peer_state best_candidate(time_point now) const;
+
+    peer_state m_self;
+    std::map<host_id, known_peer> m_peers;
+    time_point m_leaderless_since;
+    time_point m_leading_since;
+};
+
+} // namespace heathermoor::election
--- a/src/heathermoor/host/node.cpp
+++ b/src/heathermoor/host/node.cpp
@@ -111,6 +111,14 @@
         carry_out(std::move(relayed), now);
         break;
     }
+    case wire::envelope::kPoolBeat:
+    case wire::envelope::kPoolJob:
+    case wire::envelope::kPoolCancelled:
+    case wire::envelope::kPoolAsked:
+    case wire::envelope::kPoolAnswered:
+    case wire::envelope::kPoolPulled:
+    case wire::envelope::kPoolRoutes:
+    case wire::envelope::kPoolTargets:
     case wire::envelope::BODY_NOT_SET:
         break;
     }
--- /dev/null
+++ b/src/heathermoor/lease/target_ledger.cpp
@@ -0,0 +1,255 @@
+#include "heathermoor/lease/target_ledger.hpp"
+
+#include <algorithm>
+#include <utility>
+
+namespace heathermoor::lease {
+
+namespace internal {
+
+/// Time that a target may need to end a run whose lease has passed.
+constexpr milliseconds lapse_margin{60};
+
+/// Ends kept to recognise reports that were overtaken.
+constexpr std::size_t recent_ends = 64;
+
+/// Longest list of ends that a target returns at once.
+constexpr std::size_t longest_end_list = 500;
+
+/// Time between a start's acknowledgement and the sending of a call whose
+/// answer must list the run; covers calls that overtake each other.
+constexpr milliseconds listing_margin{20};
+
+[[nodiscard]] ended_run make_end(const job::task_ref &task, const run_entry &entry, run_end how, time_point now) {
+    return {task, entry.run, how, now - entry.ordered_at, entry.own};
+}
+
+} // namespace internal
+
+resources target_ledger::free() const noexcept {
+    if(m_unknown_needs > 0) {
+        return {};
+    }
+    auto room = m_capacity;
+    for(const auto &[task, entry]: m_runs) {
+        room -= entry.need;
+    }
+    return room;
+}
+
+const run_entry *target_ledger::find(const job::task_ref &task) const noexcept {
+    const auto found = m_runs.find(task);
+    return found == m_runs.end() ? nullptr : &found->second;
+}
+
+void target_ledger::order_start(const job::task_ref &task, run_number run, const resources &need, target_time until, time_point now) {
+    run_entry entry;
+    entry.run = run;
+    entry.need = need;
+    entry.ordered_at = now;
+    entry.progress_at = now;
+    m_runs.insert_or_assign(task, entry);
+    order_lease(until);
+}
+
+std::optional<ended_run> target_ledger::start_answered(const job::task_ref &task, run_number run, order_outcome result, time_point now) {
+    const auto found = m_runs.find(task);
+    if(found == m_runs.end() || found->second.run != run) {
+        return std::nullopt;
+    }
+    auto &entry = found->second;
+    switch(result) {
+    case order_outcome::done:
+        if(entry.state == run_state::ordered || entry.state == run_state::doubtful) {
+            entry.state = run_state::running;
+            entry.confirmed_at = now;
+        }
+        return std::nullopt;
+    case order_outcome::unanswered:
+    case order_outcome::fenced:
+        if(entry.state == run_state::ordered) {
+            entry.state = run_state::doubtful;
+        }
+        if(result == order_outcome::unanswered) {
+            return std::nullopt;
+        }
+        break;
+    default:
+        break;
+    }
+    auto ended = internal::make_end(task, entry, run_end::not_started, now);
+    m_runs.erase(found);
+    return ended;
+}
+
+void target_ledger::order_stop(const job::task_ref &task, time_point now) noexcept {
+    const auto found = m_runs.find(task);
+    if(found != m_runs.end()) {
+        found->second.state = found->second.state == run_state::doubtful ? run_state::doubtful : run_state::stopping;
+        found->second.stop_sent_at = now;
+    }
+}
+
+void target_ledger::stop_answered(const job::task_ref &task, run_number run, time_point now) noexcept {
+    const auto found = m_runs.find(task);
+    if(found != m_runs.end() && found->second.run == run) {
+        found->second.stop_answered_at = now;
+    }
+}
+
+void target_ledger::order_lease(target_time until) noexcept {
+    m_latest_until = std::max(m_latest_until, until);
+}
+
+void target_ledger::lease_confirmed(target_time until) noexcept {
+    m_confirmed_until = std::max(m_confirmed_until, until);
+}
+
+milliseconds target_ledger::lease_left(time_point now) const noexcept {
+    return milliseconds{static_cast<std::int64_t>(m_confirmed_until) - static_cast<std::int64_t>(m_clock.earliest(now))};
+}
+
+void target_ledger::set_need(const job::task_ref &task, const resources &need) noexcept {
+    const auto found = m_runs.find(task);
+    if(found != m_runs.end() && !found->second.own && found->second.need == resources{}) {
+        found->second.need = need;
+        --m_unknown_needs;
+    }
+}
+
+ledger_changes target_ledger::reported(const target_report &report, time_point asked, time_point now) {
+    ledger_changes changes;
+    if(m_boot && *m_boot != report.boot) {
+        restart(report, now, changes);
+    }
+    m_boot = report.boot;
+    if(report.clock < m_latest_report) {
+        return changes;
+    }
+    m_latest_report = report.clock;
+    m_clock.observe(report.clock, now);
+    take_ends(report, now, changes);
+    take_running(report, now, changes);
+    if(report.ended.size() < internal::longest_end_list) {
+        drop_absent(report, asked, now, changes);
+    }
+    m_unknown_needs = static_cast<std::uint32_t>(
+        std::count_if(m_runs.begin(), m_runs.end(), [](const auto &run) { return !run.second.own && run.second.need == resources{}; }));
+    return changes;
+}
+
+void target_ledger::restart(const target_report &report, time_point now, ledger_changes &changes) {
+    changes.restarted = true;
+    for(const auto &[task, entry]: m_runs) {
+        changes.ended.push_back(internal::make_end(task, entry, run_end::lost, now));
+    }
+    m_runs.clear();
+    m_clock.reset();
+    m_latest_until = target_time{};
+    m_confirmed_until = target_time{};
+    m_last_end = end_number{};
+    m_latest_report = target_time{};
+    m_recent_ends.clear();
+    m_boot = report.boot;
+}
+
+void target_ledger::remember_end(const job::task_ref &task, run_number run) {
+    m_recent_ends.emplace_back(task, run);
+    if(m_recent_ends.size() > internal::recent_ends) {
+        m_recent_ends.pop_front();
+    }
+}
+
+bool target_ledger::has_ended(const job::task_ref &task, run_number run) const {
+    return std::any_of(m_recent_ends.begin(), m_recent_ends.end(),
+                       [&](const auto &end) { return end.first == task && end.second >= run; });
+}
+
+void target_ledger::take_ends(const target_report &report, time_point now, ledger_changes &changes) {
+    for(const auto &end: report.ended) {
+        if(end.number <= m_last_end) {
+            continue;
+        }
+        m_last_end = end.number;
+        remember_end(end.task, end.run);
+        const auto found = m_runs.find(end.task);
+        if(found != m_runs.end() && found->second.run == end.run) {
+            auto ended = internal::make_end(end.task, found->second, end.how, now);
+            changes.ended.push_back(ended);
+            m_runs.erase(found);
+        } else {
+            changes.ended.push_back({end.task, end.run, end.how, {}, false});
+        }
+    }
+}
+
+void target_ledger::take_running(const target_report &report, time_point now, ledger_changes &changes) {
+    for(const auto &listed: report.running) {
+        const auto found = m_runs.find(listed.task);
+        if(found == m_runs.end()) {
+            if(has_ended(listed.task, listed.run)) {
+                continue;
+            }
+            run_entry entry;
+            entry.run = listed.run;
+            entry.state = run_state::running;
+            entry.ordered_at = now;
+            entry.confirmed_at = now;
+            entry.progress_at = now;
+            entry.percent = listed.percent;
+            entry.own = false;
+            m_runs.emplace(listed.task, entry);
+            changes.found.push_back({listed.task, listed.run});
+            continue;
+        }
+        auto &entry = found->second;
+        if(entry.run != listed.run) {
+            continue;
+        }
+        if(entry.state == run_state::ordered || entry.state == run_state::doubtful) {
+            entry.state = entry.stop_answered_at ? run_state::stopping : run_state::running;
+            entry.confirmed_at = now;
+        }
+        if(entry.percent != listed.percent) {
+            entry.percent = listed.percent;
+            entry.progress_at = now;
+        }
+    }
+}
+
+void target_ledger::drop_absent(const target_report &report, time_point asked, time_point now, ledger_changes &changes) {
+    for(auto run = m_runs.begin(); run != m_runs.end();) {
+        const auto &[task, entry] = *run;
+        const bool listed = std::any_of(report.running.begin(), report.running.end(), [&](const reported_run &one) {
+            return one.task == run->first && one.run == run->second.run;
+        });
+        const bool confirmed = entry.state == run_state::running || entry.state == run_state::stopping;
+        const bool known_before = confirmed && entry.confirmed_at != time_point{} && entry.confirmed_at + internal::listing_margin < asked;
+        const bool ruled_out = entry.stop_answered_at && *entry.stop_answered_at < asked;
+        if(!listed && (known_before || ruled_out)) {
+            changes.ended.push_back(internal::make_end(task, entry, confirmed && known_before ? run_end::lost : run_end::not_started, now));
+            run = m_runs.erase(run);
+        } else {
+            ++run;
+        }
+    }
+}
+
+std::vector<ended_run> target_ledger::lapsed(time_point now) {
+    std::vector<ended_run> ended;
+    if(m_runs.empty() || !m_clock.known()) {
+        return ended;
+    }
+    const auto passed = m_clock.earliest(now) > m_latest_until + internal::lapse_margin;
+    if(!passed) {
+        return ended;
+    }
+    for(const auto &[task, entry]: m_runs) {
+        ended.push_back(internal::make_end(task, entry, run_end::lapsed, now));
+    }
+    m_runs.clear();
+    m_unknown_needs = 0;
+    return ended;
+}
+
+} // namespace heathermoor::lease
--- /dev/null
+++ b/src/heathermoor/member/convert.cpp
@@ -0,0 +1,170 @@
+#include "heathermoor/member/convert.hpp"
+
+namespace heathermoor::member {
+
+namespace internal {
+
+[[nodiscard]] duration to_duration(std::int64_t value_us) noexcept {
+    return duration{value_us};
+}
+
+void set(wire::pool_resources &message, const resources &value) {
+    message.set_cpu_millicores(value.cpu_millicores);
+    message.set_memory_mb(value.memory_mb);
+    message.set_gpus(value.gpus);
+}
+
+[[nodiscard]] resources get(const wire::pool_resources &message) {
+    return {message.cpu_millicores(), message.memory_mb(), message.gpus()};
+}
+
+void set(wire::pool_queue &message, const job::queue_policy &queue) {
+    message.set_name(queue.name.str());
+    message.set_service(queue.service.str());
+    message.set_priority(queue.priority);
+    message.set_max_attempts(queue.max_attempts);
+    message.set_stretch(queue.stretch);
+    message.set_target_latency_ms(queue.target_latency.count());
+    message.set_timeout_ms(queue.timeout.count());
+}
+
+[[nodiscard]] job::queue_policy get(const wire::pool_queue &message) {
+    job::queue_policy queue;
+    queue.name = queue_id{message.name()};
+    queue.service = service_id{message.service()};
+    queue.priority = message.priority();
+    queue.max_attempts = message.max_attempts();
+    queue.stretch = message.stretch();
+    queue.target_latency = milliseconds{message.target_latency_ms()};
+    queue.timeout = milliseconds{message.timeout_ms()};
+    return queue;
+}
+
+[[nodiscard]] job::step get(const wire::pool_step &message) {
+    job::step step;
+    step.tasks = message.tasks();
+    step.need = get(message.need());
+    step.estimate = milliseconds{message.estimate_ms()};
+    step.after.assign(message.after().begin(), message.after().end());
+    step.required_label = message.required_label();
+    step.preferred_rack = message.preferred_rack();
+    step.max_per_target = message.max_per_target();
+    return step;
+}
+
+void set(wire::pool_step &message, const job::step &step) {
+    message.set_tasks(step.tasks);
+    set(*message.mutable_need(), step.need);
+    message.set_estimate_ms(step.estimate.count());
+    message.mutable_after()->Assign(step.after.begin(), step.after.end());
+    message.set_required_label(step.required_label);
+    message.set_preferred_rack(step.preferred_rack);
+    message.set_max_per_target(step.max_per_target);
+}
+
+} // namespace internal
+
+wire::pool_submit to_wire(const pool::submission &work, leader_term term) {
+    wire::pool_submit message;
+    message.set_id(work.job.id.str());
+    message.set_payload(work.job.payload);
+    for(const auto &step: work.job.steps) {
+        internal::set(*message.add_steps(), step);
+    }
+    internal::set(*message.mutable_queue(), work.queue);
+    message.set_age_us(work.age.count());
+    message.set_remaining_us(work.remaining.count());
+    message.set_clear_in_us(work.clear_in.count());
+    message.set_term(raw(term));
+    return message;
+}
+
+pool::submission from_wire(const wire::pool_submit &message, host_id from) {
+    pool::submission work;
+    work.job.id = job_id{message.id()};
+    work.job.payload = message.payload();
+    for(const auto &step: message.steps()) {
+        work.job.steps.push_back(internal::get(step));
+    }
+    work.queue = internal::get(message.queue());
+    work.from = std::move(from);
+    work.age = internal::to_duration(message.age_us());
+    work.remaining = internal::to_duration(message.remaining_us());
+    work.clear_in = internal::to_duration(message.clear_in_us());
+    return work;
+}
+
+wire::pool_config to_wire(const route::route_config &config) {
+    wire::pool_config message;
+    message.set_version(raw(config.version));
+    for(const auto &route: config.routes) {
+        auto &added = *message.add_routes();
+        added.set_host(route.host);
+        added.set_path_prefix(route.path_prefix);
+        internal::set(*added.mutable_queue(), route.queue);
+    }
+    message.set_header_bytes(config.limits.header_bytes);
+    message.set_body_bytes(config.limits.body_bytes);
+    message.set_header_timeout_ms(config.limits.header_timeout.count());
+    message.set_idle_timeout_ms(config.limits.idle_timeout.count());
+    return message;
+}
+
+route::route_config from_wire(const wire::pool_config &message) {
+    route::route_config config;
+    config.version = config_version{message.version()};
+    for(const auto &route: message.routes()) {
+        config.routes.push_back({route.host(), route.path_prefix(), internal::get(route.queue())});
+    }
+    config.limits.header_bytes = message.header_bytes();
+    config.limits.body_bytes = message.body_bytes();
+    config.limits.header_timeout = milliseconds{message.header_timeout_ms()};
+    config.limits.idle_timeout = milliseconds{message.idle_timeout_ms()};
+    return config;
+}
+
+wire::pool_catalog to_wire(const std::vector<catalog::catalog_record> &records, log_offset next) {
+    wire::pool_catalog message;
+    message.set_next(raw(next));
+    for(const auto &record: records) {
+        if(!record.entry) {
+            continue;
+        }
+        const auto &entry = *record.entry;
+        auto &target = *message.add_targets();
+        target.set_offset(raw(record.offset));
+        target.set_id(record.id.str());
+        target.set_service(entry.service.str());
+        target.set_domain(entry.domain.str());
+        target.set_address(entry.address);
+        target.set_machine(entry.machine.str());
+        internal::set(*target.mutable_capacity(), entry.capacity);
+        for(const auto &label: entry.labels) {
+            target.add_labels(label);
+        }
+        target.set_draining(entry.draining);
+        target.set_boot(raw(entry.boot));
+    }
+    return message;
+}
+
+std::vector<catalog::catalog_record> from_wire(const wire::pool_catalog &message) {
+    std::vector<catalog::catalog_record> records;
+    records.reserve(static_cast<std::size_t>(message.targets_size()));
+    for(const auto &target: message.targets()) {
+        catalog::target_entry entry;
+        entry.id = target_id{target.id()};
+        entry.service = service_id{target.service()};
+        entry.domain = failure_domain_id{target.domain()};
+        entry.address = target.address();
+        entry.machine = machine_id{target.machine()};
+        entry.capacity = internal::get(target.capacity());
+        entry.labels.assign(target.labels().begin(), target.labels().end());
+        entry.draining = target.draining();
+        entry.boot = target_boot{target.boot()};
+        records.push_back({log_offset{target.offset()}, entry.id, entry});
+    }
+    return records;
+}
+
+} // namespace heathermoor::member
--- /dev/null
+++ b/src/heathermoor/member/fwd.hpp
@@ -0,0 +1,8 @@
+#pragma once
+
+namespace heathermoor::member {
+
+struct settings;
+class member;
+
+} // namespace heathermoor::member
--- /dev/null
+++ b/src/heathermoor/member/member.cpp
@@ -0,0 +1,471 @@
+#include "heathermoor/member/member.hpp"
+
+#include "heathermoor/core/hash.hpp"
+#include "heathermoor/core/log.hpp"
+#include "heathermoor/member/convert.hpp"
+#include <algorithm>
+
+namespace heathermoor::member {
+
+namespace internal {
+
+/// Time between heartbeats; a quarter of the time after which a host counts as gone.
+constexpr milliseconds heartbeat_interval{100};
+
+/// Time from a heartbeat of the leader, as echoed by an entry host, in which the
+/// entry host counts as waiting for its jobs.
+constexpr milliseconds vouch_time{450};
+
+/// Time between requests for a peer's configuration or catalog.
+constexpr milliseconds pull_interval{300};
+
+/// Silence of the platform's store after which peers are asked for the list of targets.
+constexpr milliseconds store_patience{2'500};
+
+/// Time after which a host that is not heard is no longer passed on to others.
+constexpr seconds gossip_time{20};
+
+[[nodiscard]] std::int64_t to_us(time_point at) noexcept {
+    return at.time_since_epoch().count();
+}
+
+} // namespace internal
+
+member::member(settings options, ports out)
+    : m_settings{std::move(options)}, m_ports{out},
+      m_election{{.id = m_settings.self, .domain = m_settings.domain, .process = m_settings.process}, out.clock.now()},
+      m_gateway{m_settings.self, out.callers, *this},
+      m_scheduler{out.orders, *this, lease::token_source{hash64(m_settings.self.str())}} {
+    for(const auto &seed: m_settings.seeds) {
+        meet(seed);
+    }
+}
+
+void member::meet(const host_id &host) {
+    if(host != m_settings.self && m_addresses.insert(host).second) {
+        m_ports.peers.connect(host, "tcp://" + host.str());
+    }
+}
+
+void member::submit_job(gateway::request_token request, job::definition job, const job::queue_policy &queue, duration limit) {
+    m_gateway.submit(request, std::move(job), queue, limit, now());
+    settle();
+}
+
+void member::abandon(gateway::request_token request) {
+    m_gateway.abandon(request, now());
+    settle();
+}
+
+bool member::cancel_job(const job_id &id) {
+    const bool known = m_gateway.cancel(id, now());
+    settle();
+    return known;
+}
+
+bool member::apply_config(route::route_config config) {
+    return m_routes.apply(std::move(config));
+}
+
+void member::apply_catalog(const std::vector<catalog::catalog_record> &records, log_offset next, bool complete) {
+    const auto at = now();
+    if(complete) {
+        m_catalog.begin_snapshot();
+    }
+    for(const auto &record: records) {
+        m_catalog.apply(record, at);
+    }
+    if(complete) {
+        m_catalog.end_snapshot(at);
+    }
+    m_catalog.read_to(next);
+    update_targets();
+    settle();
+}
+
+void member::store_reachable(bool reachable) {
+    if(reachable) {
+        m_store_answered = now();
+    }
+}
+
+void member::update_targets() {
+    if(m_leading && m_targets_revision != m_catalog.revision()) {
+        m_targets_revision = m_catalog.revision();
+        m_scheduler.set_targets(m_catalog.entries());
+    }
+}
+
+void member::send(const host_id &to, wire::envelope message) {
+    message.set_from(m_settings.self.str());
+    message.set_incarnation(raw(m_settings.process));
+    message.set_domain(m_settings.domain.str());
+    message.set_sent_us(internal::to_us(now()));
+    if(to == m_settings.self) {
+        m_inbox.push_back(std::move(message));
+        return;
+    }
+    const auto peer = m_peers.find(to);
+    if(peer != m_peers.end()) {
+        message.set_echo_us(peer->second.last_sent_us);
+        message.set_to_incarnation(raw(peer->second.process));
+    }
+    m_ports.peers.send(to, std::move(message));
+}
+
+void member::settle() {
+    drain_inbox();
+    if(m_leading) {
+        m_scheduler.place(now());
+        drain_inbox();
+    }
+}
+
+void member::drain_inbox() {
+    if(m_draining_inbox) {
+        return;
+    }
+    m_draining_inbox = true;
+    while(!m_inbox.empty()) {
+        const auto message = std::move(m_inbox.front());
+        m_inbox.pop_front();
+        handle(message);
+    }
+    m_draining_inbox = false;
+}
+
+void member::received(const wire::envelope &message) {
+    if(message.to_incarnation() != 0 && message.to_incarnation() != raw(m_settings.process)) {
+        return;
+    }
+    handle(message);
+    settle();
+}
+
+void member::handle(const wire::envelope &message) {
+    switch(message.body_case()) {
+    case wire::envelope::kPoolBeat:
+        handle_heartbeat(message);
+        break;
+    case wire::envelope::kPoolJob:
+        handle_submit(message);
+        break;
+    case wire::envelope::kPoolCancelled:
+        if(m_leading && message.pool_cancelled().term() == raw(m_term)) {
+            m_scheduler.cancel(host_id{message.from()}, job_id{message.pool_cancelled().id()}, now());
+        }
+        break;
+    case wire::envelope::kPoolAsked:
+        handle_query(message);
+        break;
+    case wire::envelope::kPoolAnswered:
+        handle_answer(message);
+        break;
+    case wire::envelope::kPoolPulled:
+        handle_pull(message);
+        break;
+    case wire::envelope::kPoolRoutes:
+        (void)apply_config(from_wire(message.pool_routes()));
+        break;
+    case wire::envelope::kPoolTargets:
+        apply_catalog(from_wire(message.pool_targets()), log_offset{message.pool_targets().next()}, false);
+        break;
+    default:
+        break;
+    }
+}
+
+void member::handle_heartbeat(const wire::envelope &message) {
+    const auto at = now();
+    const host_id from{message.from()};
+    const auto &beat = message.pool_beat();
+    if(beat.leaving()) {
+        m_election.left(from);
+        m_peers.erase(from);
+        return;
+    }
+    auto &peer = m_peers[from];
+    if(message.incarnation() < raw(peer.process)) {
+        return;
+    }
+    peer.process = incarnation{message.incarnation()};
+    peer.heard_at = at;
+    peer.last_sent_us = message.sent_us();
+    peer.term = leader_term{beat.term()};
+    peer.config_version = beat.config_version();
+    peer.catalog_next = log_offset{beat.catalog_next()};
+    meet(from);
+    for(const auto &address: beat.members()) {
+        meet(host_id{address});
+    }
+    election::peer_state state;
+    state.id = from;
+    state.domain = failure_domain_id{message.domain()};
+    state.process = peer.process;
+    state.draining = beat.draining();
+    state.leading = beat.leading();
+    state.hears = beat.hears();
+    state.lag = duration{static_cast<std::int64_t>(beat.lag_us())};
+    state.leading_for = duration{static_cast<std::int64_t>(beat.leading_for_us())};
+    m_election.heard(state, at);
+    if(beat.leading() && m_leader && m_leader->host == from) {
+        m_waiting.clear();
+        for(const auto &queue: beat.queues()) {
+            m_waiting[queue_id{queue.queue()}] = queue.waiting();
+        }
+    }
+    if(m_leading && beat.follows() == m_settings.self.str() && beat.follows_term() == raw(m_term) && message.echo_us() != 0) {
+        m_scheduler.vouch(from, time_point{duration{message.echo_us()}} + internal::vouch_time);
+    }
+    decide_leader(at);
+}
+
+void member::handle_submit(const wire::envelope &message) {
+    if(!m_leading || message.pool_job().term() != raw(m_term)) {
+        return;
+    }
+    m_scheduler.submit(from_wire(message.pool_job(), host_id{message.from()}), now());
+}
+
+void member::handle_query(const wire::envelope &message) {
+    if(!m_leading || message.pool_asked().term() != raw(m_term)) {
+        return;
+    }
+    const host_id from{message.from()};
+    for(const auto &id: message.pool_asked().ids()) {
+        if(!m_scheduler.resolve(from, job_id{id})) {
+            wire::envelope reply;
+            reply.mutable_pool_answered()->set_id(id);
+            reply.mutable_pool_answered()->set_not_known(true);
+            reply.mutable_pool_answered()->set_term(raw(m_term));
+            send(from, std::move(reply));
+        }
+    }
+}
+
+void member::handle_answer(const wire::envelope &message) {
+    const auto &reply = message.pool_answered();
+    const gateway::leader_ref from{host_id{message.from()}, leader_term{reply.term()}};
+    if(reply.not_known()) {
+        m_gateway.not_known(from, job_id{reply.id()}, now());
+        return;
+    }
+    job::answer answer;
+    answer.result = static_cast<job::outcome>(reply.result());
+    answer.reason = to_errc(reply.reason());
+    answer.retry_after = milliseconds{reply.retry_after_ms()};
+    m_gateway.answered(from, job_id{reply.id()}, answer, now());
+}
+
+void member::handle_pull(const wire::envelope &message) {
+    const host_id from{message.from()};
+    if(message.pool_pulled().config() && m_routes.configured()) {
+        wire::envelope reply;
+        *reply.mutable_pool_routes() = to_wire(m_routes.current());
+        send(from, std::move(reply));
+    }
+    if(message.pool_pulled().catalog()) {
+        wire::envelope reply;
+        *reply.mutable_pool_targets() = to_wire(m_catalog.records(), m_catalog.next());
+        send(from, std::move(reply));
+    }
+}
+
+void member::answer(const host_id &to, const job_id &job, const job::answer &answer) {
+    wire::envelope message;
+    auto &body = *message.mutable_pool_answered();
+    body.set_id(job.str());
+    body.set_result(static_cast<std::uint32_t>(answer.result));
+    body.set_reason(static_cast<std::uint32_t>(answer.reason));
+    body.set_retry_after_ms(answer.retry_after.count());
+    body.set_term(raw(m_term));
+    send(to, std::move(message));
+}
+
+void member::submit(const gateway::leader_ref &leader, pool::submission work) {
+    wire::envelope message;
+    *message.mutable_pool_job() = to_wire(work, leader.term);
+    send(leader.host, std::move(message));
+}
+
+void member::cancel(const gateway::leader_ref &leader, const job_id &id) {
+    wire::envelope message;
+    message.mutable_pool_cancelled()->set_id(id.str());
+    message.mutable_pool_cancelled()->set_term(raw(leader.term));
+    send(leader.host, std::move(message));
+}
+
+void member::query(const gateway::leader_ref &leader, const std::vector<job_id> &ids) {
+    wire::envelope message;
+    for(const auto &id: ids) {
+        message.mutable_pool_asked()->add_ids(id.str());
+    }
+    message.mutable_pool_asked()->set_term(raw(leader.term));
+    send(leader.host, std::move(message));
+}
+
+std::uint32_t member::waiting(const queue_id &queue) const {
+    if(m_leading) {
+        return m_scheduler.waiting(queue);
+    }
+    const auto found = m_waiting.find(queue);
+    return found == m_waiting.end() ? 0 : found->second;
+}
+
+void member::start_answered(const pool::order_answer &answer) {
+    if(m_leading) {
+        m_scheduler.start_answered(answer, now());
+        settle();
+    }
+}
+
+void member::stop_answered(const pool::order_answer &answer) {
+    if(m_leading) {
+        m_scheduler.stop_answered(answer, now());
+        settle();
+    }
+}
+
+void member::report_answered(const pool::report_answer &answer) {
+    if(m_leading) {
+        m_scheduler.report_answered(answer, now());
+        settle();
+    }
+}
+
+void member::disconnected(const host_id &host) {
+    m_election.lost(host);
+    decide_leader(now());
+    settle();
+}
+
+void member::decide_leader(time_point now) {
+    const auto chosen = m_election.decide(now);
+    const bool lead = chosen && *chosen == m_settings.self;
+    if(lead && !m_leading) {
+        m_term = leader_term{static_cast<std::uint64_t>(m_ports.clock.unix_now().count())};
+        m_leading = true;
+        m_targets_revision = ~std::uint64_t{0};
+        log(log_level::info, "member", "This host schedules the pool now. term={} hears={}", raw(m_term), m_election.self().hears);
+        update_targets();
+        m_next_beat = now;
+    } else if(!lead && m_leading) {
+        log(log_level::info, "member", "This host no longer schedules the pool. term={}", raw(m_term));
+        m_leading = false;
+        m_scheduler.resign();
+        m_next_beat = now;
+    }
+    std::optional<gateway::leader_ref> leader;
+    if(lead) {
+        leader = gateway::leader_ref{m_settings.self, m_term};
+    } else if(chosen) {
+        const auto peer = m_peers.find(*chosen);
+        if(peer != m_peers.end()) {
+            leader = gateway::leader_ref{*chosen, peer->second.term};
+        }
+    }
+    if(leader != m_leader) {
+        m_leader = leader;
+        m_gateway.set_leader(leader, now);
+    }
+}
+
+void member::fill_heartbeat(wire::pool_heartbeat &beat) const {
+    const auto &self = m_election.self();
+    beat.set_draining(self.draining);
+    beat.set_leading(m_leading);
+    beat.set_term(raw(m_term));
+    beat.set_hears(self.hears);
+    beat.set_lag_us(static_cast<std::uint64_t>(self.lag.count()));
+    beat.set_leading_for_us(static_cast<std::uint64_t>(self.leading_for.count()));
+    if(m_leader) {
+        beat.set_follows(m_leader->host.str());
+        beat.set_follows_term(raw(m_leader->term));
+    }
+    beat.set_config_version(m_routes.configured() ? raw(m_routes.current().version) : 0);
+    beat.set_catalog_next(raw(m_catalog.next()));
+    const auto at = now();
+    for(const auto &[id, peer]: m_peers) {
+        if(at - peer.heard_at < internal::gossip_time) {
+            beat.add_members(id.str());
+        }
+    }
+    if(!m_leading || !m_routes.configured()) {
+        return;
+    }
+    for(const auto &route: m_routes.current().routes) {
+        const auto waiting = m_scheduler.waiting(route.queue.name);
+        if(waiting > 0) {
+            auto &queue = *beat.add_queues();
+            queue.set_queue(route.queue.name.str());
+            queue.set_waiting(waiting);
+        }
+    }
+}
+
+void member::beat(time_point now) {
+    m_next_beat = now + internal::heartbeat_interval;
+    wire::envelope message;
+    fill_heartbeat(*message.mutable_pool_beat());
+    for(const auto &host: m_addresses) {
+        send(host, message);
+    }
+}
+
+void member::pull_from_peers(time_point now) {
+    if(now < m_next_pull) {
+        return;
+    }
+    const auto own_version = m_routes.configured() ? raw(m_routes.current().version) : 0;
+    const bool store_silent = now - m_store_answered > internal::store_patience;
+    for(const auto &[id, peer]: m_peers) {
+        const bool newer_config = peer.config_version > own_version;
+        const bool newer_catalog = store_silent && peer.catalog_next > m_catalog.next();
+        if(newer_config || newer_catalog) {
+            m_next_pull = now + internal::pull_interval;
+            wire::envelope message;
+            message.mutable_pool_pulled()->set_config(newer_config);
+            message.mutable_pool_pulled()->set_catalog(newer_catalog);
+            send(id, std::move(message));
+            return;
+        }
+    }
+}
+
+void member::tick(duration late) {
+    const auto at = now();
+    auto &lag = m_election.self().lag;
+    lag = std::max(late, lag * 9 / 10);
+    if(m_catalog.expire(at)) {
+        update_targets();
+    }
+    decide_leader(at);
+    m_gateway.tick(at);
+    if(m_leading) {
+        m_scheduler.vouch(m_settings.self, at + internal::vouch_time);
+        m_scheduler.tick(at, m_ports.clock.unix_now());
+    }
+    pull_from_peers(at);
+    if(at >= m_next_beat) {
+        beat(at);
+    }
+    settle();
+}
+
+void member::begin_stop() {
+    m_election.self().draining = true;
+    decide_leader(now());
+    m_next_beat = now();
+    beat(now());
+    settle();
+}
+
+void member::leave() {
+    wire::envelope message;
+    message.mutable_pool_beat()->set_leaving(true);
+    for(const auto &host: m_addresses) {
+        send(host, message);
+    }
+}
+
+} // namespace heathermoor::member
--- /dev/null
+++ b/src/heathermoor/pool/scheduler.cpp
@@ -0,0 +1,568 @@
+#include "heathermoor/pool/scheduler.hpp"
+
+#include "heathermoor/core/hash.hpp"
+#include "heathermoor/core/log.hpp"
+#include <algorithm>
+#include <cmath>
+#include <utility>
+
+namespace heathermoor::pool {
+
+namespace internal {
+
+/// Time for which the answer of an ended job is kept for a resubmission.
+constexpr seconds past_answer_time{30};
+
+/// Most answers kept.
+constexpr std::size_t most_past_answers = 4'096;
+
+/// Time in which an entry host hands its jobs to a new scheduler; runs that
+/// belong to no known job are stopped after it.
+constexpr milliseconds orphan_time{400};
+
+/// Time after which a job with a task out of reach is answered as unknown.
+constexpr milliseconds out_of_reach_time{500};
+
+/// Step by which a run's number rises after a target rejected it as too low.
+constexpr std::uint64_t run_number_step = 16;
+
+/// Growth of the longest of several tasks over their mean, for each doubling of
+/// the logarithm; fits run times that spread by about 40%.
+constexpr double widest_growth = 0.35;
+
+/// Multiple of the latency objective after which an answer is worth nothing.
+constexpr double useless_after = 3.0;
+
+/// Progress is expected to change within this time.
+constexpr milliseconds stall_time{700};
+
+/// Multiple of the expected run time from which a task may count as stalled.
+constexpr double stall_run_factor = 3.0;
+
+/// Retry time given with a refusal when nothing better is known.
+constexpr milliseconds default_retry{500};
+
+[[nodiscard]] placement::run_class class_of(const job::queue_policy &queue) {
+    return placement::run_time_model::classify(hash64(queue.name.str()), milliseconds{0});
+}
+
+} // namespace internal
+
+void scheduler::set_targets(const std::vector<catalog::target_entry> &entries) {
+    m_holder.set_targets(entries);
+    m_place_due = true;
+}
+
+void scheduler::resign() {
+    m_holder.release_all();
+    m_jobs.clear();
+    m_orphans.clear();
+    m_orphan_ends.clear();
+    m_vouched.clear();
+    m_past.clear();
+}
+
+void scheduler::submit(submission work, time_point now) {
+    m_vouched.try_emplace(work.from, now + internal::orphan_time);
+    const auto known = m_jobs.find(work.job.id);
+    if(known != m_jobs.end()) {
+        auto &job = known->second;
+        if(job.closing) {
+            job.next = std::move(work);
+        } else if(std::find(job.hosts.begin(), job.hosts.end(), work.from) == job.hosts.end()) {
+            job.hosts.push_back(work.from);
+        }
+        return;
+    }
+    const auto past = m_past.find(work.job.id);
+    if(past != m_past.end()) {
+        m_answers.answer(work.from, work.job.id, past->second.answer);
+        return;
+    }
+    open(std::move(work), now);
+}
+
+void scheduler::open(submission work, time_point now) {
+    open_job job;
+    job.queue = std::move(work.queue);
+    job.hosts.push_back(work.from);
+    job.sent_at = now - work.age;
+    job.deadline = now + work.remaining;
+    job.clear_at = now + work.clear_in;
+    job.ever_started = work.clear_in > duration::zero();
+    job.job = std::move(work.job);
+    for(std::uint32_t step = 0; step < job.job.steps.size(); ++step) {
+        for(std::uint32_t index = 0; index < job.job.steps[step].tasks; ++index) {
+            task_slot slot;
+            slot.step = step;
+            slot.index = index;
+            job.slots.push_back(slot);
+        }
+    }
+    const auto id = job.job.id;
+    auto &stored = m_jobs.insert_or_assign(id, std::move(job)).first->second;
+    adopt_orphans(stored, now);
+    m_place_due = true;
+}
+
+void scheduler::adopt_orphans(open_job &job, time_point now) {
+    for(auto &slot: job.slots) {
+        const job::task_ref task{job.job.id, slot.step, slot.index};
+        const auto ended = m_orphan_ends.find(task);
+        if(ended != m_orphan_ends.end()) {
+            slot.state = slot_state::done;
+            slot.last_run = raw(ended->second.run);
+            job.ever_started = true;
+            m_orphan_ends.erase(ended);
+        }
+        const auto running = m_orphans.find(task);
+        if(running != m_orphans.end()) {
+            const auto target = running->second.target;
+            slot.last_run = std::max(slot.last_run, raw(running->second.run));
+            job.ever_started = true;
+            if(slot.state == slot_state::waiting) {
+                slot.state = slot_state::placed;
+                slot.target = target;
+                slot.placed_at = now;
+                m_holder.adopt(target, task, job.job.steps[slot.step].need);
+            } else {
+                m_holder.stop(target, task, now);
+            }
+            m_orphans.erase(running);
+        }
+    }
+    if(std::all_of(job.slots.begin(), job.slots.end(), [](const task_slot &slot) { return slot.state == slot_state::done; })) {
+        finish(job, {job::outcome::completed, errc::ok, {}}, now);
+        erase_if_closed(job.job.id, now);
+    }
+}
+
+void scheduler::cancel(const host_id &from, const job_id &id, time_point now) {
+    const auto found = m_jobs.find(id);
+    if(found == m_jobs.end()) {
+        return;
+    }
+    auto &job = found->second;
+    if(job.next && job.next->from == from) {
+        job.next.reset();
+        return;
+    }
+    std::erase(job.hosts, from);
+    if(job.hosts.empty() && !job.closing) {
+        ++m_counts.cancelled;
+        close(job, now);
+        erase_if_closed(id, now);
+    }
+}
+
+void scheduler::vouch(const host_id &host, time_point until) {
+    auto &known = m_vouched[host];
+    known = std::max(known, until);
+}
+
+bool scheduler::resolve(const host_id &from, const job_id &id) {
+    const auto past = m_past.find(id);
+    if(past != m_past.end()) {
+        m_answers.answer(from, id, past->second.answer);
+        return true;
+    }
+    const auto known = m_jobs.find(id);
+    if(known == m_jobs.end()) {
+        return false;
+    }
+    const auto &job = known->second;
+    if(job.closing) {
+        return job.next && job.next->from == from;
+    }
+    return std::find(job.hosts.begin(), job.hosts.end(), from) != job.hosts.end();
+}
+
+std::uint32_t scheduler::waiting(const queue_id &queue) const {
+    std::uint32_t count = 0;
+    for(const auto &[id, job]: m_jobs) {
+        count += job.queue.name == queue && !job.ever_started && !job.closing ? 1 : 0;
+    }
+    return count;
+}
+
+void scheduler::finish(open_job &job, const job::answer &answer, time_point now) {
+    for(const auto &host: job.hosts) {
+        m_answers.answer(host, job.job.id, answer);
+    }
+    switch(answer.result) {
+    case job::outcome::completed:
+        ++m_counts.completed;
+        break;
+    case job::outcome::failed:
+        ++m_counts.failed;
+        break;
+    case job::outcome::refused:
+        ++m_counts.refused;
+        break;
+    case job::outcome::unknown:
+        ++m_counts.unknown;
+        break;
+    }
+    if(answer.result == job::outcome::completed || answer.result == job::outcome::failed) {
+        if(m_past.size() >= internal::most_past_answers) {
+            m_past.erase(m_past.begin());
+        }
+        m_past[job.job.id] = {answer, now};
+    }
+    close(job, now);
+}
+
+void scheduler::close(open_job &job, time_point now) {
+    job.closing = true;
+    job.hosts.clear();
+    for(const auto &slot: job.slots) {
+        if(slot.state == slot_state::placed) {
+            m_holder.stop(slot.target, {job.job.id, slot.step, slot.index}, now);
+        }
+    }
+}
+
+void scheduler::erase_if_closed(const job_id &id, time_point now) {
+    const auto found = m_jobs.find(id);
+    if(found == m_jobs.end() || !found->second.closing) {
+        return;
+    }
+    const auto &slots = found->second.slots;
+    if(std::any_of(slots.begin(), slots.end(), [](const task_slot &slot) { return slot.state == slot_state::placed; })) {
+        return;
+    }
+    auto next = std::move(found->second.next);
+    m_jobs.erase(found);
+    if(next) {
+        submit(std::move(*next), now);
+    }
+}
+
+scheduler::task_slot *scheduler::find_slot(open_job &job, const job::task_ref &task) {
+    for(auto &slot: job.slots) {
+        if(slot.step == task.step && slot.index == task.index) {
+            return &slot;
+        }
+    }
+    return nullptr;
+}
+
+void scheduler::run_ended(const target_id &target, const lease::ended_run &end, time_point now) {
+    m_place_due = true;
+    if(end.how == lease::run_end::lapsed || end.how == lease::run_end::lost) {
+        ++m_counts.runs_lost;
+    }
+    const auto orphan = m_orphans.find(end.task);
+    if(orphan != m_orphans.end() && orphan->second.target == target) {
+        m_orphans.erase(orphan);
+    }
+    const auto found = m_jobs.find(end.task.job);
+    if(found == m_jobs.end()) {
+        if(end.how == lease::run_end::done && !end.own) {
+            m_orphan_ends[end.task] = {end.run, now};
+        }
+        return;
+    }
+    auto &job = found->second;
+    auto *slot = find_slot(job, end.task);
+    if(slot == nullptr) {
+        return;
+    }
+    const bool current = slot->state == slot_state::placed && slot->target == target && slot->last_run == raw(end.run);
+    if(!current) {
+        if(end.how == lease::run_end::done && slot->state == slot_state::waiting && !job.closing) {
+            slot->state = slot_state::done;
+        }
+        return;
+    }
+    slot->state = slot_state::waiting;
+    const auto expected = expected_run(job);
+    switch(end.how) {
+    case lease::run_end::done:
+        slot->state = slot_state::done;
+        m_target_states[target].health.succeeded();
+        if(end.own) {
+            m_run_times.observe(internal::class_of(job.queue), end.elapsed, m_speeds.speed(target));
+            m_speeds.observe(target, end.elapsed, expected);
+        }
+        break;
+    case lease::run_end::failed:
+        ++slot->failures;
+        ++m_counts.runs_failed;
+        m_target_states[target].health.failed(now, false);
+        break;
+    case lease::run_end::not_started:
+        slot->last_run += internal::run_number_step - 1;
+        break;
+    default:
+        break;
+    }
+    if(!job.closing) {
+        if(slot->failures >= std::max<std::uint32_t>(1, job.queue.max_attempts)) {
+            finish(job, {job::outcome::failed, errc::attempts_exhausted, {}}, now);
+        } else if(std::all_of(job.slots.begin(), job.slots.end(), [](const task_slot &one) { return one.state == slot_state::done; })) {
+            finish(job, {job::outcome::completed, errc::ok, {}}, now);
+        }
+    }
+    erase_if_closed(end.task.job, now);
+}
+
+void scheduler::run_found(const target_id &target, const lease::found_run &run, time_point now) {
+    const auto found = m_jobs.find(run.task.job);
+    auto *slot = found == m_jobs.end() ? nullptr : find_slot(found->second, run.task);
+    if(slot == nullptr) {
+        m_orphans[run.task] = {target, run.run, now};
+        return;
+    }
+    auto &job = found->second;
+    m_holder.adopt(target, run.task, job.job.steps[run.task.step].need);
+    const bool wanted = !job.closing && (slot->state == slot_state::waiting || slot->state == slot_state::out_of_reach);
+    if(!wanted) {
+        m_holder.stop(target, run.task, now);
+        return;
+    }
+    slot->state = slot_state::placed;
+    slot->target = target;
+    slot->last_run = std::max(slot->last_run, raw(run.run));
+    slot->placed_at = now;
+    job.ever_started = true;
+}
+
+void scheduler::target_taken(const target_id &target, const std::vector<job::task_ref> &runs, time_point now) {
+    for(const auto &task: runs) {
+        m_orphans.erase(task);
+        const auto found = m_jobs.find(task.job);
+        if(found == m_jobs.end()) {
+            continue;
+        }
+        auto *slot = find_slot(found->second, task);
+        if(slot != nullptr && slot->state == slot_state::placed && slot->target == target) {
+            slot->state = slot_state::out_of_reach;
+            found->second.out_of_reach_since = now;
+        }
+        erase_if_closed(task.job, now);
+    }
+}
+
+void scheduler::start_answered(const order_answer &answer, time_point now) {
+    if(answer.outcome == lease::order_outcome::unwell) {
+        m_target_states[answer.target].health.failed(now, false);
+    }
+    m_holder.start_answered(answer, now);
+}
+
+void scheduler::stop_answered(const order_answer &answer, time_point now) {
+    m_holder.stop_answered(answer, now);
+}
+
+void scheduler::report_answered(const report_answer &answer, time_point now) {
+    m_holder.report_answered(answer, now);
+    m_place_due = true;
+}
+
+void scheduler::tick(time_point now, milliseconds unix_now) {
+    m_holder.tick(now, unix_now);
+    drop_lost_hosts(now);
+    end_overdue(now);
+    stop_orphans(now);
+    stop_stalled(now);
+    std::erase_if(m_past, [now](const auto &item) { return now - item.second.at > internal::past_answer_time; });
+    std::erase_if(m_orphan_ends, [now](const auto &item) { return now - item.second.ended_at > internal::past_answer_time; });
+    place(now);
+}
+
+void scheduler::drop_lost_hosts(time_point now) {
+    std::vector<host_id> lost;
+    std::erase_if(m_vouched, [&](const auto &item) {
+        const bool silent = now >= item.second;
+        if(silent) {
+            lost.push_back(item.first);
+        }
+        return silent;
+    });
+    for(const auto &host: lost) {
+        std::vector<job_id> affected;
+        for(const auto &[id, job]: m_jobs) {
+            if(std::find(job.hosts.begin(), job.hosts.end(), host) != job.hosts.end()) {
+                affected.push_back(id);
+            }
+        }
+        if(!affected.empty()) {
+            log(log_level::info, "pool", "Entry host is silent; its jobs are stopped. host={} jobs={}", host.str(), affected.size());
+        }
+        for(const auto &id: affected) {
+            cancel(host, id, now);
+        }
+    }
+}
+
+void scheduler::end_overdue(time_point now) {
+    std::vector<job_id> overdue;
+    for(auto &[id, job]: m_jobs) {
+        if(job.closing) {
+            continue;
+        }
+        const bool lost = job.out_of_reach_since && now - *job.out_of_reach_since > internal::out_of_reach_time &&
+                          std::any_of(job.slots.begin(), job.slots.end(),
+                                      [](const task_slot &slot) { return slot.state == slot_state::out_of_reach; });
+        const bool useless = !job.ever_started && now - job.sent_at > from_ms(to_ms(objective(job)) * internal::useless_after);
+        if(lost || useless || now >= job.deadline) {
+            overdue.push_back(id);
+        }
+    }
+    for(const auto &id: overdue) {
+        auto &job = m_jobs.at(id);
+        if(job.ever_started) {
+            finish(job, {job::outcome::unknown, now >= job.deadline ? errc::deadline_exceeded : errc::leader_lost, {}}, now);
+        } else {
+            finish(job, {job::outcome::refused, errc::overloaded, internal::default_retry}, now);
+        }
+        erase_if_closed(id, now);
+    }
+}
+
+void scheduler::stop_orphans(time_point now) {
+    std::vector<std::pair<target_id, job::task_ref>> due;
+    for(auto &[task, orphan]: m_orphans) {
+        if(now - orphan.found_at >= internal::orphan_time) {
+            due.emplace_back(orphan.target, task);
+            orphan.found_at = now;
+        }
+    }
+    for(const auto &[target, task]: due) {
+        m_holder.stop(target, task, now);
+    }
+}
+
+void scheduler::stop_stalled(time_point now) {
+    std::vector<std::pair<target_id, job::task_ref>> due;
+    for(const auto &[id, target]: m_holder.targets()) {
+        for(const auto &[task, entry]: target.ledger.runs()) {
+            const auto found = m_jobs.find(task.job);
+            if(found == m_jobs.end() || entry.state != lease::run_state::running || now - entry.progress_at < internal::stall_time) {
+                continue;
+            }
+            const auto expected = from_ms(to_ms(expected_run(found->second)) * internal::stall_run_factor);
+            if(now - entry.ordered_at > expected && !target.silent) {
+                due.emplace_back(id, task);
+            }
+        }
+    }
+    for(const auto &[target, task]: due) {
+        m_target_states[target].health.failed(now, false);
+        m_holder.stop(target, task, now);
+    }
+}
+
+bool scheduler::step_ready(const open_job &job, std::uint32_t step) const {
+    const auto &after = job.job.steps[step].after;
+    return std::all_of(job.slots.begin(), job.slots.end(), [&](const task_slot &slot) {
+        return slot.state == slot_state::done || std::find(after.begin(), after.end(), slot.step) == after.end();
+    });
+}
+
+duration scheduler::expected_run(const open_job &job) const {
+    const auto hint = job.job.steps.empty() ? milliseconds{0} : job.job.steps.front().estimate;
+    return m_run_times.estimate(internal::class_of(job.queue), hint);
+}
+
+duration scheduler::objective(const open_job &job) const {
+    const auto width = std::max<std::size_t>(1, job.slots.size());
+    const auto longest = to_ms(expected_run(job)) * (1.0 + internal::widest_growth * std::log(static_cast<double>(width)));
+    return from_ms(longest * job.queue.stretch) + job.queue.target_latency;
+}
+
+bool scheduler::usable(const held_target &target, time_point now) {
+    if(target.state != hold_state::held || target.silent || target.removed || target.entry.draining || !target.following) {
+        return false;
+    }
+    constexpr std::uint32_t unlimited = 1'000;
+    return target.ledger.runs().size() < m_target_states[target.entry.id].health.limit(unlimited, now);
+}
+
+const held_target *scheduler::choose(const open_job &job, const task_slot &slot, time_point now) {
+    const auto &step = job.job.steps[slot.step];
+    const held_target *best = nullptr;
+    double best_speed = 0;
+    std::int64_t best_left = 0;
+    for(const auto &[id, target]: m_holder.targets()) {
+        if(target.entry.service != job.queue.service || !usable(target, now)) {
+            continue;
+        }
+        const auto free = target.ledger.free();
+        const auto &labels = target.entry.labels;
+        if(!step.need.fits(free)) {
+            continue;
+        }
+        if(!step.required_label.empty() && std::find(labels.begin(), labels.end(), step.required_label) == labels.end()) {
+            continue;
+        }
+        if(step.max_per_target > 0) {
+            const auto same = std::count_if(job.slots.begin(), job.slots.end(), [&](const task_slot &other) {
+                return other.step == slot.step && other.state == slot_state::placed && other.target == id;
+            });
+            if(same >= static_cast<std::ptrdiff_t>(step.max_per_target)) {
+                continue;
+            }
+        }
+        auto speed = m_speeds.speed(id);
+        if(!step.preferred_rack.empty() && std::find(labels.begin(), labels.end(), step.preferred_rack) == labels.end()) {
+            speed /= 2;
+        }
+        const auto left = free.cpu_millicores - step.need.cpu_millicores;
+        if(best == nullptr || speed > best_speed * 1.05 || (speed > best_speed * 0.95 && left < best_left)) {
+            best = &target;
+            best_speed = speed;
+            best_left = left;
+        }
+    }
+    return best;
+}
+
+bool scheduler::place_job(open_job &job, time_point now) {
+    bool all = true;
+    for(auto &slot: job.slots) {
+        if(slot.state != slot_state::waiting || !step_ready(job, slot.step)) {
+            continue;
+        }
+        const auto *target = choose(job, slot, now);
+        if(target == nullptr) {
+            all = false;
+            continue;
+        }
+        slot.state = slot_state::placed;
+        slot.target = target->entry.id;
+        slot.placed_at = now;
+        ++slot.last_run;
+        job.ever_started = true;
+        ++m_counts.starts;
+        m_holder.start(slot.target, {job.job.id, slot.step, slot.index}, run_number{slot.last_run}, job.job.steps[slot.step].need,
+                       job.job.payload, now);
+    }
+    return all;
+}
+
+void scheduler::place(time_point now) {
+    if(!m_place_due) {
+        return;
+    }
+    m_place_due = false;
+    const bool all_claimed = m_holder.all_claimed();
+    std::vector<open_job *> waiting;
+    for(auto &[id, job]: m_jobs) {
+        const bool clear = all_claimed || now >= job.clear_at;
+        m_place_due = m_place_due || !clear;
+        if(!job.closing && clear &&
+           std::any_of(job.slots.begin(), job.slots.end(), [](const task_slot &slot) { return slot.state == slot_state::waiting; })) {
+            waiting.push_back(&job);
+        }
+    }
+    std::sort(waiting.begin(), waiting.end(), [](const open_job *left, const open_job *right) {
+        return std::pair{left->queue.priority, left->sent_at} < std::pair{right->queue.priority, right->sent_at};
+    });
+    for(auto *job: waiting) {
+        (void)place_job(*job, now);
+    }
+}
+
+} // namespace heathermoor::pool
--- /dev/null
+++ b/src/heathermoor/pool/scheduler.hpp
@@ -0,0 +1,216 @@
+#pragma once
+
+#include "heathermoor/job/job.hpp"
+#include "heathermoor/placement/run_time_model.hpp"
+#include "heathermoor/placement/target_health.hpp"
+#include "heathermoor/pool/ports.hpp"
+#include "heathermoor/pool/speed_model.hpp"
+#include "heathermoor/pool/target_holder.hpp"
+#include <cstdint>
+#include <map>
+#include <optional>
+#include <string>
+#include <unordered_map>
+#include <vector>
+
+namespace heathermoor::pool {
+
+/// @brief Job as an entry host hands it to the scheduler.
+struct submission {
+    job::definition job;
+    job::queue_policy queue;
+    /// Entry host that answers the caller.
+    host_id from;
+    /// Time since the caller sent the job.
+    duration age{};
+    /// Time until the caller stops waiting.
+    duration remaining{};
+    /// Time for which runs ordered by an earlier scheduler may be at work
+    /// unseen; zero if the job was handed to nobody before.
+    duration clear_in{};
+};
+
+/// @brief Counts of the scheduler, for metrics and heartbeats.
+struct scheduler_counts {
+    std::uint64_t starts{};
+    std::uint64_t completed{};
+    std::uint64_t failed{};
+    std::uint64_t refused{};
+    std::uint64_t unknown{};
+    std::uint64_t cancelled{};
+    std::uint64_t runs_failed{};
+    std::uint64_t runs_lost{};
+};
+
+/// @brief Schedules all jobs of one pool of targets from one host.
+class scheduler final : public holder_listener {
+  public:
+    /// @brief Scheduler without targets or jobs.
+    /// @param orders Sends orders to targets.
+    /// @param answers Tells entry hosts the outcome.
+    /// @param tokens Makes fencing tokens.
+    scheduler(order_port &orders, answer_port &answers, lease::token_source tokens)
+        : m_answers{answers}, m_holder{orders, *this, tokens} {}
+
+    /// @brief Sets the targets to use.
+    /// @param entries Targets in scope.
+    void set_targets(const std::vector<catalog::target_entry> &entries);
+
+    /// @brief Gives up all targets and jobs; entry hosts hand theirs to the next scheduler.
+    void resign();
+
+    /// @brief Takes a job; a job that is known already is joined.
+    /// @param work Job.
+    /// @param now Current time.
+    void submit(submission work, time_point now);
+
+    /// @brief Ends a job that its caller no longer waits for.
+    /// @param from Entry host.
+    /// @param id Job.
+    /// @param now Current time.
+    void cancel(const host_id &from, const job_id &id, time_point now);
+
+    /// @brief Extends the time for which an entry host is known to wait for its jobs.
+    /// @param host Entry host.
+    /// @param until End of that time.
+    void vouch(const host_id &host, time_point until);
+
+    /// @brief Whether a job is known, and its answer if it has ended.
+    /// @param from Entry host that asks.
+    /// @param id Job.
+    /// @return False if the scheduler has no record of it.
+    [[nodiscard]] bool resolve(const host_id &from, const job_id &id);
+
+    /// @brief Jobs of a queue of which no task has started.
+    /// @param queue Queue.
+    /// @return Number of jobs.
+    [[nodiscard]] std::uint32_t waiting(const queue_id &queue) const;
+
+    /// @brief Handles the answer to a start.
+    /// @param answer Answer.
+    /// @param now Current time.
+    void start_answered(const order_answer &answer, time_point now);
+
+    /// @brief Handles the answer to a stop.
+    /// @param answer Answer.
+    /// @param now Current time.
+    void stop_answered(const order_answer &answer, time_point now);
+
+    /// @brief Handles a report.
+    /// @param answer Answer.
+    /// @param now Current time.
+    void report_answered(const report_answer &answer, time_point now);
+
+    /// @brief Does what is due: claims, renewals, time limits, lost hosts, placements.
+    /// @param now Current time.
+    /// @param unix_now Wall clock.
+    void tick(time_point now, milliseconds unix_now);
+
+    /// @brief Places waiting tasks on free room.
+    /// @param now Current time.
+    void place(time_point now);
+
+    /// @brief Targets as held.
+    /// @return Holder.
+    [[nodiscard]] const target_holder &holder() const noexcept { return m_holder; }
+
+    /// @brief Counts since the start of the process.
+    /// @return Counts.
+    [[nodiscard]] const scheduler_counts &counts() const noexcept { return m_counts; }
+
+    /// @brief Jobs that are not answered yet.
+    /// @return Number of jobs.
+    [[nodiscard]] std::size_t open_jobs() const noexcept { return m_jobs.size(); }
+
+    void run_ended(const target_id &target, const lease::ended_run &end, time_point now) override;
+    void run_found(const target_id &target, const lease::found_run &run, time_point now) override;
+    void target_taken(const target_id &target, const std::vector<job::task_ref> &runs, time_point now) override;
+
+  private:
+    enum class slot_state : std::uint8_t {
+        waiting,
+        placed,
+        done,
+        /// At work on a target that another host has taken.
+        out_of_reach,
+    };
+
+    struct task_slot {
+        std::uint32_t step{};
+        std::uint32_t index{};
+        slot_state state{slot_state::waiting};
+        target_id target;
+        std::uint64_t last_run{};
+        std::uint32_t failures{};
+        time_point placed_at;
+    };
+
+    struct open_job {
+        job::definition job;
+        job::queue_policy queue;
+        std::vector<host_id> hosts;
+        std::vector<task_slot> slots;
+        time_point sent_at;
+        time_point deadline;
+        time_point clear_at;
+        bool ever_started{};
+        /// Answered; waits until nothing of it is at work.
+        bool closing{};
+        /// Some task is out of reach since then.
+        std::optional<time_point> out_of_reach_since;
+        /// Submission that came while the job was closing.
+        std::optional<submission> next;
+    };
+
+    struct orphan_run {
+        target_id target;
+        run_number run{};
+        time_point found_at;
+    };
+
+    struct orphan_end {
+        run_number run{};
+        time_point ended_at;
+    };
+
+    struct past_answer {
+        job::answer answer;
+        time_point at;
+    };
+
+    struct target_state {
+        placement::target_health health;
+    };
+
+    void open(submission work, time_point now);
+    void adopt_orphans(open_job &job, time_point now);
+    void finish(open_job &job, const job::answer &answer, time_point now);
+    void close(open_job &job, time_point now);
+    void erase_if_closed(const job_id &id, time_point now);
+    void end_overdue(time_point now);
+    void drop_lost_hosts(time_point now);
+    void stop_orphans(time_point now);
+    void stop_stalled(time_point now);
+    [[nodiscard]] task_slot *find_slot(open_job &job, const job::task_ref &task);
+    [[nodiscard]] bool step_ready(const open_job &job, std::uint32_t step) const;
+    [[nodiscard]] duration expected_run(const open_job &job) const;
+    [[nodiscard]] duration objective(const open_job &job) const;
+    [[nodiscard]] const held_target *choose(const open_job &job, const task_slot &slot, time_point now);
+    [[nodiscard]] bool usable(const held_target &target, time_point now);
+    bool place_job(open_job &job, time_point now);
+
+    answer_port &m_answers;
+    target_holder m_holder;
+    placement::run_time_model m_run_times;
+    speed_model m_speeds;
+    std::unordered_map<target_id, target_state> m_target_states;
+    std::map<job_id, open_job> m_jobs;
+    std::map<job_id, past_answer> m_past;
+    std::unordered_map<job::task_ref, orphan_run> m_orphans;
+    std::unordered_map<job::task_ref, orphan_end> m_orphan_ends;
+    std::unordered_map<host_id, time_point> m_vouched;
+    scheduler_counts m_counts;
+    bool m_place_due{};
+};
+
+} // namespace heathermoor::pool
--- /dev/null
+++ b/src/heathermoor/pool/speed_model.cpp
@@ -0,0 +1,40 @@
+#include "heathermoor/pool/speed_model.hpp"
+
+#include <algorithm>
+#include <cmath>
+
+namespace heathermoor::pool {
+
+namespace internal {
+
+/// Ratio beyond which a run counts as a straggler and says little of its target.
+constexpr double largest_ratio = 3.0;
+
+/// Samples that weigh as much as the assumption of mean speed.
+constexpr double prior_samples = 1.0;
+
+/// Samples after which old ones fade.
+constexpr std::uint32_t window_samples = 24;
+
+} // namespace internal
+
+double speed_model::speed(const target_id &target) const {
+    const auto found = m_targets.find(target);
+    if(found == m_targets.end()) {
+        return 1.0;
+    }
+    const auto weight = found->second.samples / (found->second.samples + internal::prior_samples);
+    return std::exp(-found->second.mean_log_ratio * weight);
+}
+
+void speed_model::observe(const target_id &target, duration observed, duration expected) {
+    if(observed <= duration::zero() || expected <= duration::zero()) {
+        return;
+    }
+    const auto ratio = std::clamp(to_ms(observed) / to_ms(expected), 1.0 / internal::largest_ratio, internal::largest_ratio);
+    auto &known = m_targets[target];
+    known.samples = std::min(known.samples + 1, internal::window_samples);
+    known.mean_log_ratio += (std::log(ratio) - known.mean_log_ratio) / known.samples;
+}
+
+} // namespace heathermoor::pool
--- /dev/null
+++ b/src/heathermoor/pool/target_holder.cpp
@@ -0,0 +1,315 @@
+#include "heathermoor/pool/target_holder.hpp"
+
+#include "heathermoor/core/log.hpp"
+#include <algorithm>
+
+namespace heathermoor::pool {
+
+namespace internal {
+
+/// Lease asked for with each order. Together with the time after which an entry
+/// host counts as lost, the clock's slowness and a stop it stays under the
+/// callers' resubmission time of 1,300 ms.
+constexpr milliseconds lease_length{700};
+
+/// Lease left below which a renewal is sent; half of the length and a round trip.
+constexpr milliseconds renew_below{400};
+
+/// Wait of the call that follows a target with runs; shorter than what is left
+/// of a lease after one lost call.
+constexpr milliseconds busy_wait{300};
+
+/// Wait of the call that follows a target without runs; the longest the platform allows.
+constexpr milliseconds idle_wait{2'000};
+
+/// Time beyond its wait after which an unanswered call makes a target suspect.
+constexpr milliseconds answer_slack{250};
+
+/// Time between claims that found no answer.
+constexpr milliseconds claim_retry{250};
+
+/// Time for which a target is left to the holder that took it.
+constexpr milliseconds fenced_pause{1'500};
+
+/// Time between stops of one run.
+constexpr milliseconds stop_retry{200};
+
+} // namespace internal
+
+void target_holder::set_targets(const std::vector<catalog::target_entry> &entries) {
+    for(auto &[id, target]: m_targets) {
+        target.removed = true;
+    }
+    for(const auto &entry: entries) {
+        auto &target = m_targets[entry.id];
+        target.entry = entry;
+        target.ledger.set_capacity(entry.capacity);
+        target.removed = false;
+    }
+    for(auto target = m_targets.begin(); target != m_targets.end();) {
+        if(target->second.removed && !target->second.ledger.busy()) {
+            m_orders.release(target->first);
+            target = m_targets.erase(target);
+        } else {
+            ++target;
+        }
+    }
+}
+
+void target_holder::release_all() {
+    for(const auto &[id, target]: m_targets) {
+        m_orders.release(id);
+    }
+    m_targets.clear();
+}
+
+order_address target_holder::address_of(const held_target &target) const {
+    return {target.entry.id, target.entry.address, target.token};
+}
+
+held_target *target_holder::held(const target_id &id, fencing_token token) {
+    const auto found = m_targets.find(id);
+    if(found == m_targets.end() || found->second.token != token || found->second.state != hold_state::held) {
+        return nullptr;
+    }
+    return &found->second;
+}
+
+void target_holder::start(const target_id &target, const job::task_ref &task, run_number run, const resources &need,
+                          const std::string &payload, time_point now) {
+    auto &held = m_targets.at(target);
+    const auto until = held.ledger.lease_until(internal::lease_length, now);
+    held.ledger.order_start(task, run, need, until, now);
+    m_orders.start({address_of(held), task, run, payload, until});
+}
+
+void target_holder::stop(const target_id &target, const job::task_ref &task, time_point now) {
+    const auto found = m_targets.find(target);
+    if(found == m_targets.end()) {
+        return;
+    }
+    const auto *entry = found->second.ledger.find(task);
+    if(entry == nullptr) {
+        return;
+    }
+    const auto run = entry->run;
+    found->second.ledger.order_stop(task, now);
+    m_orders.stop({address_of(found->second), task, run});
+}
+
+void target_holder::adopt(const target_id &target, const job::task_ref &task, const resources &need) {
+    const auto found = m_targets.find(target);
+    if(found != m_targets.end()) {
+        found->second.ledger.set_need(task, need);
+    }
+}
+
+void target_holder::start_answered(const order_answer &answer, time_point now) {
+    auto *target = held(answer.target, answer.token);
+    if(target == nullptr) {
+        return;
+    }
+    if(answer.clock) {
+        target->ledger.observe_clock(*answer.clock, now);
+    }
+    if(answer.outcome == lease::order_outcome::done) {
+        target->silent = false;
+        target->ledger.lease_confirmed(answer.until);
+    }
+    const auto ended = target->ledger.start_answered(answer.task, answer.run, answer.outcome, now);
+    if(ended) {
+        m_listener.run_ended(answer.target, *ended, now);
+    }
+    if(answer.outcome == lease::order_outcome::fenced) {
+        fenced(*target, now);
+    } else if(answer.outcome == lease::order_outcome::unanswered) {
+        target->silent = true;
+        stop(answer.target, answer.task, now);
+    } else if(answer.outcome == lease::order_outcome::not_sent) {
+        target->silent = true;
+    }
+}
+
+void target_holder::stop_answered(const order_answer &answer, time_point now) {
+    auto *target = held(answer.target, answer.token);
+    if(target == nullptr) {
+        return;
+    }
+    if(answer.clock) {
+        target->ledger.observe_clock(*answer.clock, now);
+    }
+    if(answer.outcome == lease::order_outcome::done) {
+        target->ledger.stop_answered(answer.task, answer.run, now);
+        renew(*target, now);
+    } else if(answer.outcome == lease::order_outcome::fenced) {
+        fenced(*target, now);
+    }
+}
+
+void target_holder::report_answered(const report_answer &answer, time_point now) {
+    const auto found = m_targets.find(answer.target);
+    if(found == m_targets.end() || found->second.token != answer.token) {
+        return;
+    }
+    auto &target = found->second;
+    if(answer.purpose == report_purpose::follow) {
+        target.following = false;
+    } else if(answer.purpose == report_purpose::renew) {
+        target.renewing = false;
+    }
+    if(answer.outcome == lease::order_outcome::fenced) {
+        if(target.state == hold_state::claiming) {
+            m_tokens.rejected();
+            target.state = hold_state::idle;
+            target.next_claim = now + internal::claim_retry;
+        } else {
+            fenced(target, now);
+        }
+        return;
+    }
+    if(answer.outcome != lease::order_outcome::done) {
+        target.silent = true;
+        if(target.state == hold_state::claiming) {
+            target.state = hold_state::idle;
+            target.next_claim = now + internal::claim_retry;
+        }
+        return;
+    }
+    target.silent = false;
+    if(target.state == hold_state::claiming) {
+        target.state = hold_state::held;
+        target.held_since = now;
+        m_tokens.accepted();
+    }
+    const auto changes = target.ledger.reported(answer.report, answer.asked, now);
+    if(answer.until && !changes.restarted) {
+        target.ledger.lease_confirmed(*answer.until);
+    }
+    if(changes.restarted) {
+        // A start that was delayed in the network may still reach the new boot: raise its fence.
+        target.state = hold_state::idle;
+        target.next_claim = now;
+    }
+    publish(answer.target, changes, now);
+    const auto again = m_targets.find(answer.target);
+    if(again != m_targets.end() && again->second.state == hold_state::held && !again->second.following) {
+        follow(again->second, now);
+    }
+}
+
+void target_holder::publish(const target_id &id, const lease::ledger_changes &changes, time_point now) {
+    for(const auto &end: changes.ended) {
+        m_listener.run_ended(id, end, now);
+    }
+    for(const auto &run: changes.found) {
+        m_listener.run_found(id, run, now);
+    }
+}
+
+void target_holder::fenced(held_target &target, time_point now) {
+    std::vector<job::task_ref> runs;
+    for(const auto &[task, entry]: target.ledger.runs()) {
+        runs.push_back(task);
+    }
+    log(log_level::info, "pool", "Another host holds the target now. target={} runs={}", target.entry.id.str(), runs.size());
+    target.state = hold_state::fenced;
+    target.next_claim = now + internal::fenced_pause;
+    target.following = false;
+    target.renewing = false;
+    target.ledger = lease::target_ledger{target.entry.capacity};
+    m_orders.release(target.entry.id);
+    m_listener.target_taken(target.entry.id, runs, now);
+}
+
+void target_holder::claim(held_target &target, time_point now, milliseconds unix_now) {
+    target.token = m_tokens.next(unix_now);
+    target.state = hold_state::claiming;
+    target.following = false;
+    target.renewing = false;
+    ++m_claims;
+    std::optional<lease::target_time> until;
+    if(target.ledger.busy()) {
+        until = target.ledger.lease_until(internal::lease_length, now);
+        target.ledger.order_lease(*until);
+    }
+    m_orders.report({address_of(target), report_purpose::claim, until, target.ledger.last_end(), milliseconds{0}});
+}
+
+void target_holder::follow(held_target &target, time_point now) {
+    report_order order{address_of(target), report_purpose::follow, std::nullopt, target.ledger.last_end(), internal::idle_wait};
+    if(target.ledger.busy()) {
+        order.until = target.ledger.lease_until(internal::lease_length, now);
+        order.wait = internal::busy_wait;
+        target.ledger.order_lease(*order.until);
+    }
+    target.following = true;
+    target.answer_due = now + order.wait + internal::answer_slack;
+    m_orders.report(order);
+}
+
+void target_holder::renew(held_target &target, time_point now) {
+    if(target.renewing) {
+        return;
+    }
+    const auto until = target.ledger.lease_until(internal::lease_length, now);
+    target.ledger.order_lease(until);
+    target.renewing = true;
+    m_orders.report({address_of(target), report_purpose::renew, until, target.ledger.last_end(), milliseconds{0}});
+}
+
+void target_holder::resolve_doubts(held_target &target, time_point now) {
+    std::vector<job::task_ref> due;
+    for(const auto &[task, entry]: target.ledger.runs()) {
+        const bool open = entry.state == lease::run_state::doubtful || entry.state == lease::run_state::stopping;
+        if(open && !entry.stop_answered_at && now - entry.stop_sent_at >= internal::stop_retry) {
+            due.push_back(task);
+        }
+    }
+    for(const auto &task: due) {
+        stop(target.entry.id, task, now);
+    }
+}
+
+void target_holder::tick(time_point now, milliseconds unix_now) {
+    std::vector<target_id> ids;
+    ids.reserve(m_targets.size());
+    for(const auto &[id, target]: m_targets) {
+        ids.push_back(id);
+    }
+    for(const auto &id: ids) {
+        const auto found = m_targets.find(id);
+        if(found == m_targets.end()) {
+            continue;
+        }
+        auto &target = found->second;
+        const auto lapsed = target.ledger.lapsed(now);
+        for(const auto &end: lapsed) {
+            m_listener.run_ended(id, end, now);
+        }
+        if((target.state == hold_state::idle || target.state == hold_state::fenced) && now >= target.next_claim && !target.removed) {
+            claim(target, now, unix_now);
+        } else if(target.state == hold_state::held) {
+            if(!target.following) {
+                follow(target, now);
+            } else if(now > target.answer_due) {
+                target.silent = true;
+            }
+            if(target.ledger.busy() && target.ledger.lease_left(now) < internal::renew_below) {
+                renew(target, now);
+            }
+            resolve_doubts(target, now);
+        }
+        if(target.removed && !target.ledger.busy()) {
+            m_orders.release(id);
+            m_targets.erase(found);
+        }
+    }
+}
+
+bool target_holder::all_claimed() const noexcept {
+    return std::all_of(m_targets.begin(), m_targets.end(), [](const auto &item) {
+        return item.second.state == hold_state::held || item.second.state == hold_state::fenced || item.second.removed;
+    });
+}
+
+} // namespace heathermoor::pool
--- /dev/null
+++ b/src/heathermoor/pool/target_holder.hpp
@@ -0,0 +1,151 @@
+#pragma once
+
+#include "heathermoor/catalog/target_catalog.hpp"
+#include "heathermoor/lease/target_ledger.hpp"
+#include "heathermoor/lease/token_source.hpp"
+#include "heathermoor/pool/ports.hpp"
+#include <map>
+#include <vector>
+
+namespace heathermoor::pool {
+
+/// @brief Hears what happens to the runs on held targets.
+class holder_listener {
+  public:
+    virtual ~holder_listener() = default;
+
+    /// @brief A run has ended, or has certainly never begun.
+    /// @param target Target.
+    /// @param end End.
+    /// @param now Current time.
+    virtual void run_ended(const target_id &target, const lease::ended_run &end, time_point now) = 0;
+
+    /// @brief A target reports a run that was ordered by an earlier holder.
+    /// @param target Target.
+    /// @param run Run.
+    /// @param now Current time.
+    virtual void run_found(const target_id &target, const lease::found_run &run, time_point now) = 0;
+
+    /// @brief Another holder has taken a target; what runs there is out of reach.
+    /// @param target Target.
+    /// @param runs Tasks that may be at work there.
+    /// @param now Current time.
+    virtual void target_taken(const target_id &target, const std::vector<job::task_ref> &runs, time_point now) = 0;
+};
+
+/// @brief Whether and how a target is held.
+enum class hold_state : std::uint8_t { idle, claiming, held, fenced };
+
+/// @brief Target as this host holds it.
+struct held_target {
+    catalog::target_entry entry;
+    lease::target_ledger ledger{resources{}};
+    hold_state state{hold_state::idle};
+    fencing_token token{};
+    /// Earliest time of the next claim.
+    time_point next_claim;
+    /// When the target was taken over.
+    time_point held_since;
+    bool following{};
+    bool renewing{};
+    /// When the call that waits for ends has to be answered at the latest.
+    time_point answer_due;
+    /// The latest call was not answered; nothing new is started until one is.
+    bool silent{};
+    /// The catalog no longer has it.
+    bool removed{};
+};
+
+/// @brief Holds targets by their fence and follows what runs on them.
+///
+/// Claims every target in its scope with a rising token, keeps one waiting call
+/// at each held target, renews leases while something runs and resolves orders
+/// whose outcome is in doubt.
+class target_holder {
+  public:
+    /// @brief Holder of nothing.
+    /// @param orders Sends orders.
+    /// @param listener Hears what happens.
+    /// @param tokens Makes fencing tokens.
+    target_holder(order_port &orders, holder_listener &listener, lease::token_source tokens)
+        : m_orders{orders}, m_listener{listener}, m_tokens{tokens} {}
+
+    /// @brief Sets the targets that this host is to hold.
+    /// @param entries Targets in scope.
+    void set_targets(const std::vector<catalog::target_entry> &entries);
+
+    /// @brief Gives up all targets without a word to them.
+    void release_all();
+
+    /// @brief Starts a task on a held target.
+    /// @param target Target with room for it.
+    /// @param task Task.
+    /// @param run Number of the run.
+    /// @param need Need of the task.
+    /// @param payload Opaque text of the job.
+    /// @param now Current time.
+    void start(const target_id &target, const job::task_ref &task, run_number run, const resources &need, const std::string &payload,
+               time_point now);
+
+    /// @brief Stops a task wherever it is.
+    /// @param target Target.
+    /// @param task Task.
+    /// @param now Current time.
+    void stop(const target_id &target, const job::task_ref &task, time_point now);
+
+    /// @brief Tells the need of a run that was found.
+    /// @param target Target.
+    /// @param task Task.
+    /// @param need Need of the task.
+    void adopt(const target_id &target, const job::task_ref &task, const resources &need);
+
+    /// @brief Handles the answer to a start.
+    /// @param answer Answer.
+    /// @param now Current time.
+    void start_answered(const order_answer &answer, time_point now);
+
+    /// @brief Handles the answer to a stop.
+    /// @param answer Answer.
+    /// @param now Current time.
+    void stop_answered(const order_answer &answer, time_point now);
+
+    /// @brief Handles a report.
+    /// @param answer Answer.
+    /// @param now Current time.
+    void report_answered(const report_answer &answer, time_point now);
+
+    /// @brief Claims, follows, renews and resolves what is due.
+    /// @param now Current time.
+    /// @param unix_now Wall clock.
+    void tick(time_point now, milliseconds unix_now);
+
+    /// @brief All targets in scope.
+    /// @return Targets by id.
+    [[nodiscard]] const std::map<target_id, held_target> &targets() const noexcept { return m_targets; }
+
+    /// @brief Whether every target in scope was asked for its account.
+    /// @return True if each is held, or has been taken by another holder.
+    [[nodiscard]] bool all_claimed() const noexcept;
+
+    /// @brief Claims sent so far.
+    /// @return Number of claims.
+    [[nodiscard]] std::uint64_t claims() const noexcept { return m_claims; }
+
+  private:
+    void claim(held_target &target, time_point now, milliseconds unix_now);
+    void follow(held_target &target, time_point now);
+    void renew(held_target &target, time_point now);
+    void resolve_doubts(held_target &target, time_point now);
+    void fenced(held_target &target, time_point now);
+    void publish(const target_id &id, const lease::ledger_changes &changes, time_point now);
+    [[nodiscard]] order_address address_of(const held_target &target) const;
+    [[nodiscard]] held_target *held(const target_id &id, fencing_token token);
+
+    order_port &m_orders;
+    holder_listener &m_listener;
+    lease::token_source m_tokens;
+    std::map<target_id, held_target> m_targets;
+    std::uint64_t m_claims{};
+};
+
+} // namespace heathermoor::pool
