Refuse early, place in one pass, end hopeless runs, know what the earlier scheduler may run

Cause: at the crest the scheduling host spent its processor on placing (jobs x tasks x targets for each event), lost heartbeats and was replaced again and again; jobs that could not be served were held to their deadline; a target taken by another holder counted as known.

--- a/src/heathermoor/member/member.cpp
+++ b/src/heathermoor/member/member.cpp
@@ -194,6 +194,15 @@
     peer.term = leader_term{beat.term()};
     peer.config_version = beat.config_version();
     peer.catalog_next = log_offset{beat.catalog_next()};
+    const bool gave_up = peer.leading && !beat.leading();
+    peer.leading = beat.leading();
+    peer.idle_targets.clear();
+    for(const auto &target: beat.idle_targets()) {
+        peer.idle_targets.emplace_back(target);
+    }
+    if(gave_up && m_leading) {
+        m_scheduler.reclaim(at);
+    }
     meet(from);
     for(const auto &address: beat.members()) {
         meet(host_id{address});
@@ -348,6 +357,10 @@
         m_targets_revision = ~std::uint64_t{0};
         log(log_level::info, "member", "This host schedules the pool now. term={} hears={}", raw(m_term), m_election.self().hears);
         update_targets();
+        const auto earlier = m_peers.find(m_earlier_leader);
+        if(earlier != m_peers.end()) {
+            m_scheduler.assume_idle(earlier->second.idle_targets);
+        }
         m_next_beat = now;
     } else if(!lead && m_leading) {
         log(log_level::info, "member", "This host no longer schedules the pool. term={}", raw(m_term));
@@ -364,6 +377,9 @@
             leader = gateway::leader_ref{*chosen, peer->second.term};
         }
     }
+    if(leader && !lead) {
+        m_earlier_leader = leader->host;
+    }
     if(leader != m_leader) {
         m_leader = leader;
         m_gateway.set_leader(leader, now);
@@ -390,16 +406,16 @@
             beat.add_members(id.str());
         }
     }
-    if(!m_leading || !m_routes.configured()) {
+    if(!m_leading) {
         return;
     }
-    for(const auto &route: m_routes.current().routes) {
-        const auto waiting = m_scheduler.waiting(route.queue.name);
-        if(waiting > 0) {
-            auto &queue = *beat.add_queues();
-            queue.set_queue(route.queue.name.str());
-            queue.set_waiting(waiting);
-        }
+    for(const auto &[name, length]: m_scheduler.waiting()) {
+        auto &queue = *beat.add_queues();
+        queue.set_queue(name.str());
+        queue.set_waiting(length);
+    }
+    for(const auto &target: m_scheduler.holder().out_of_reach()) {
+        beat.add_idle_targets(target.str());
     }
 }
 
--- a/src/heathermoor/member/member.hpp
+++ b/src/heathermoor/member/member.hpp
@@ -155,6 +155,8 @@
         leader_term term{};
         std::uint64_t config_version{};
         log_offset catalog_next{};
+        bool leading{};
+        std::vector<target_id> idle_targets;
     };
 
     [[nodiscard]] time_point now() const { return m_ports.clock.now(); }
@@ -184,6 +186,8 @@
     std::set<host_id> m_addresses;
     std::deque<wire::envelope> m_inbox;
     std::optional<gateway::leader_ref> m_leader;
+    /// Latest leader that was another host.
+    host_id m_earlier_leader;
     std::map<queue_id, std::uint32_t> m_waiting;
     bool m_leading{};
     leader_term m_term{};
--- a/src/heathermoor/pool/scheduler.cpp
+++ b/src/heathermoor/pool/scheduler.cpp
@@ -30,8 +30,21 @@
 /// the logarithm; fits run times that spread by about 40%.
 constexpr double widest_growth = 0.35;
 
-/// Multiple of the latency objective after which an answer is worth nothing.
-constexpr double useless_after = 3.0;
+/// Part of the objective's slack that may be spent on waiting; the rest covers
+/// tasks that run longer than expected.
+constexpr double waiting_share = 0.9;
+
+/// Progress below which a run's pace says too little of its end.
+constexpr std::int64_t least_percent = 1;
+
+/// Time for which a run's pace is watched before it counts.
+constexpr milliseconds pace_time{250};
+
+/// Margin by which a run must miss its job's deadline to count as hopeless.
+constexpr double hopeless_margin = 1.5;
+
+/// Time before a job's deadline in which its answer has to leave.
+constexpr milliseconds answer_margin{20};
 
 /// Progress is expected to change within this time.
 constexpr milliseconds stall_time{700};
@@ -39,8 +52,8 @@
 /// Multiple of the expected run time from which a task may count as stalled.
 constexpr double stall_run_factor = 3.0;
 
-/// Retry time given with a refusal when nothing better is known.
-constexpr milliseconds default_retry{500};
+/// Shortest retry time given with a refusal.
+constexpr milliseconds least_retry{500};
 
 [[nodiscard]] placement::run_class class_of(const job::queue_policy &queue) {
     return placement::run_time_model::classify(hash64(queue.name.str()), milliseconds{0});
@@ -87,7 +100,7 @@
     job.queue = std::move(work.queue);
     job.hosts.push_back(work.from);
     job.sent_at = now - work.age;
-    job.deadline = now + work.remaining;
+    job.deadline = now + work.remaining - internal::answer_margin;
     job.clear_at = now + work.clear_in;
     job.ever_started = work.clear_in > duration::zero();
     job.job = std::move(work.job);
@@ -177,12 +190,20 @@
     return std::find(job.hosts.begin(), job.hosts.end(), from) != job.hosts.end();
 }
 
-std::uint32_t scheduler::waiting(const queue_id &queue) const {
-    std::uint32_t count = 0;
+std::map<queue_id, std::uint32_t> scheduler::waiting() const {
+    std::map<queue_id, std::uint32_t> result;
     for(const auto &[id, job]: m_jobs) {
-        count += job.queue.name == queue && !job.ever_started && !job.closing ? 1 : 0;
+        if(!job.ever_started && !job.closing) {
+            ++result[job.queue.name];
+        }
     }
-    return count;
+    return result;
+}
+
+std::uint32_t scheduler::waiting(const queue_id &queue) const {
+    const auto all = waiting();
+    const auto found = all.find(queue);
+    return found == all.end() ? 0 : found->second;
 }
 
 void scheduler::finish(open_job &job, const job::answer &answer, time_point now) {
@@ -366,9 +387,11 @@
     end_overdue(now);
     stop_orphans(now);
     stop_stalled(now);
+    end_hopeless_runs(now);
     std::erase_if(m_past, [now](const auto &item) { return now - item.second.at > internal::past_answer_time; });
     std::erase_if(m_orphan_ends, [now](const auto &item) { return now - item.second.ended_at > internal::past_answer_time; });
     place(now);
+    refuse_hopeless(now);
 }
 
 void scheduler::drop_lost_hosts(time_point now) {
@@ -405,8 +428,7 @@
         const bool lost = job.out_of_reach_since && now - *job.out_of_reach_since > internal::out_of_reach_time &&
                           std::any_of(job.slots.begin(), job.slots.end(),
                                       [](const task_slot &slot) { return slot.state == slot_state::out_of_reach; });
-        const bool useless = !job.ever_started && now - job.sent_at > from_ms(to_ms(objective(job)) * internal::useless_after);
-        if(lost || useless || now >= job.deadline) {
+        if(lost || now >= job.deadline) {
             overdue.push_back(id);
         }
     }
@@ -415,7 +437,7 @@
         if(job.ever_started) {
             finish(job, {job::outcome::unknown, now >= job.deadline ? errc::deadline_exceeded : errc::leader_lost, {}}, now);
         } else {
-            finish(job, {job::outcome::refused, errc::overloaded, internal::default_retry}, now);
+            finish(job, {job::outcome::refused, errc::overloaded, internal::least_retry}, now);
         }
         erase_if_closed(id, now);
     }
@@ -466,10 +488,13 @@
     return m_run_times.estimate(internal::class_of(job.queue), hint);
 }
 
-duration scheduler::objective(const open_job &job) const {
+duration scheduler::longest_run(const open_job &job) const {
     const auto width = std::max<std::size_t>(1, job.slots.size());
-    const auto longest = to_ms(expected_run(job)) * (1.0 + internal::widest_growth * std::log(static_cast<double>(width)));
-    return from_ms(longest * job.queue.stretch) + job.queue.target_latency;
+    return from_ms(to_ms(expected_run(job)) * (1.0 + internal::widest_growth * std::log(static_cast<double>(width))));
+}
+
+duration scheduler::objective(const open_job &job) const {
+    return from_ms(to_ms(longest_run(job)) * job.queue.stretch) + job.queue.target_latency;
 }
 
 bool scheduler::usable(const held_target &target, time_point now) {
@@ -480,38 +505,51 @@
     return target.ledger.runs().size() < m_target_states[target.entry.id].health.limit(unlimited, now);
 }
 
-const held_target *scheduler::choose(const open_job &job, const task_slot &slot, time_point now) {
-    const auto &step = job.job.steps[slot.step];
-    const held_target *best = nullptr;
-    double best_speed = 0;
-    std::int64_t best_left = 0;
+std::vector<scheduler::candidate> scheduler::candidates(time_point now) {
+    std::vector<candidate> room;
     for(const auto &[id, target]: m_holder.targets()) {
-        if(target.entry.service != job.queue.service || !usable(target, now)) {
+        if(!usable(target, now)) {
             continue;
         }
         const auto free = target.ledger.free();
-        const auto &labels = target.entry.labels;
-        if(!step.need.fits(free)) {
+        if(free.cpu_millicores > 0) {
+            room.push_back({&target, free, m_speeds.speed(id)});
+        }
+    }
+    return room;
+}
+
+scheduler::candidate *scheduler::choose(const open_job &job, const task_slot &slot, std::vector<candidate> &room) const {
+    /// Speeds within this share count as equal; the tighter fit decides then.
+    constexpr double equal_speed = 0.05;
+    const auto &step = job.job.steps[slot.step];
+    candidate *best = nullptr;
+    double best_speed = 0;
+    std::int64_t best_left = 0;
+    for(auto &one: room) {
+        const auto &entry = one.target->entry;
+        const auto &labels = entry.labels;
+        const auto has_label = [&labels](const std::string &label) { return std::find(labels.begin(), labels.end(), label) != labels.end(); };
+        if(entry.service != job.queue.service || !step.need.fits(one.free)) {
             continue;
         }
-        if(!step.required_label.empty() && std::find(labels.begin(), labels.end(), step.required_label) == labels.end()) {
+        if(!step.required_label.empty() && !has_label(step.required_label)) {
             continue;
         }
         if(step.max_per_target > 0) {
             const auto same = std::count_if(job.slots.begin(), job.slots.end(), [&](const task_slot &other) {
-                return other.step == slot.step && other.state == slot_state::placed && other.target == id;
+                return other.step == slot.step && other.state == slot_state::placed && other.target == entry.id;
             });
             if(same >= static_cast<std::ptrdiff_t>(step.max_per_target)) {
                 continue;
             }
         }
-        auto speed = m_speeds.speed(id);
-        if(!step.preferred_rack.empty() && std::find(labels.begin(), labels.end(), step.preferred_rack) == labels.end()) {
-            speed /= 2;
-        }
-        const auto left = free.cpu_millicores - step.need.cpu_millicores;
-        if(best == nullptr || speed > best_speed * 1.05 || (speed > best_speed * 0.95 && left < best_left)) {
-            best = &target;
+        const auto speed = !step.preferred_rack.empty() && !has_label(step.preferred_rack) ? one.speed / 2 : one.speed;
+        const auto left = one.free.cpu_millicores - step.need.cpu_millicores;
+        const bool faster = speed > best_speed * (1 + equal_speed);
+        const bool tighter = speed > best_speed * (1 - equal_speed) && left < best_left;
+        if(best == nullptr || faster || tighter) {
+            best = &one;
             best_speed = speed;
             best_left = left;
         }
@@ -519,49 +557,118 @@
     return best;
 }
 
-bool scheduler::place_job(open_job &job, time_point now) {
-    bool all = true;
+void scheduler::place_job(open_job &job, std::vector<candidate> &room, time_point now) {
     for(auto &slot: job.slots) {
         if(slot.state != slot_state::waiting || !step_ready(job, slot.step)) {
             continue;
         }
-        const auto *target = choose(job, slot, now);
-        if(target == nullptr) {
-            all = false;
-            continue;
+        auto *chosen = choose(job, slot, room);
+        if(chosen == nullptr) {
+            return;
         }
+        const auto &need = job.job.steps[slot.step].need;
+        chosen->free -= need;
         slot.state = slot_state::placed;
-        slot.target = target->entry.id;
+        slot.target = chosen->target->entry.id;
         slot.placed_at = now;
         ++slot.last_run;
         job.ever_started = true;
         ++m_counts.starts;
-        m_holder.start(slot.target, {job.job.id, slot.step, slot.index}, run_number{slot.last_run}, job.job.steps[slot.step].need,
-                       job.job.payload, now);
+        m_holder.start(slot.target, {job.job.id, slot.step, slot.index}, run_number{slot.last_run}, need, job.job.payload, now);
     }
-    return all;
 }
 
-void scheduler::place(time_point now) {
-    if(!m_place_due) {
-        return;
-    }
-    m_place_due = false;
+std::vector<scheduler::open_job *> scheduler::waiting_in_order(time_point now) {
     const bool all_claimed = m_holder.all_claimed();
-    std::vector<open_job *> waiting;
+    std::vector<open_job *> result;
     for(auto &[id, job]: m_jobs) {
         const bool clear = all_claimed || now >= job.clear_at;
-        m_place_due = m_place_due || !clear;
         if(!job.closing && clear &&
            std::any_of(job.slots.begin(), job.slots.end(), [](const task_slot &slot) { return slot.state == slot_state::waiting; })) {
-            waiting.push_back(&job);
+            result.push_back(&job);
         }
     }
-    std::sort(waiting.begin(), waiting.end(), [](const open_job *left, const open_job *right) {
+    std::sort(result.begin(), result.end(), [](const open_job *left, const open_job *right) {
         return std::pair{left->queue.priority, left->sent_at} < std::pair{right->queue.priority, right->sent_at};
     });
-    for(auto *job: waiting) {
-        (void)place_job(*job, now);
+    return result;
+}
+
+void scheduler::place(time_point now) {
+    if(!m_place_due) {
+        return;
+    }
+    m_place_due = false;
+    auto room = candidates(now);
+    if(room.empty()) {
+        return;
+    }
+    for(auto *job: waiting_in_order(now)) {
+        place_job(*job, room, now);
+        std::erase_if(room, [](const candidate &one) { return one.free.cpu_millicores <= 0; });
+        if(room.empty()) {
+            break;
+        }
+    }
+}
+
+double scheduler::task_places(const resources &need, const service_id &service) const {
+    std::int64_t places = 0;
+    for(const auto &[id, target]: m_holder.targets()) {
+        if(target.entry.service == service && target.state == hold_state::held && !target.silent && !target.entry.draining) {
+            places += pieces(need, target.entry.capacity);
+        }
+    }
+    return static_cast<double>(places);
+}
+
+void scheduler::refuse_hopeless(time_point now) {
+    std::vector<std::pair<job_id, milliseconds>> refused;
+    double ahead_ms = 0;
+    for(const auto *job: waiting_in_order(now)) {
+        const auto waiting = std::count_if(job->slots.begin(), job->slots.end(),
+                                           [](const task_slot &slot) { return slot.state == slot_state::waiting; });
+        const auto places = std::max(1.0, task_places(job->job.steps.front().need, job->queue.service));
+        const auto work_ms = to_ms(expected_run(*job)) * static_cast<double>(waiting) / places;
+        const auto slack_ms = to_ms(objective(*job) - longest_run(*job) - (now - job->sent_at)) * internal::waiting_share;
+        if(!job->ever_started && ahead_ms > std::max(0.0, slack_ms)) {
+            refused.emplace_back(job->job.id, std::max(internal::least_retry, milliseconds{static_cast<std::int64_t>(ahead_ms)}));
+            continue;
+        }
+        ahead_ms += work_ms;
+    }
+    for(const auto &[id, retry]: refused) {
+        finish(m_jobs.at(id), {job::outcome::refused, errc::overloaded, retry}, now);
+        erase_if_closed(id, now);
+    }
+}
+
+void scheduler::end_hopeless_runs(time_point now) {
+    std::vector<job_id> hopeless;
+    for(const auto &[id, target]: m_holder.targets()) {
+        for(const auto &[task, entry]: target.ledger.runs()) {
+            const auto elapsed = entry.progress_at - entry.ordered_at;
+            if(entry.state != lease::run_state::running || entry.percent < internal::least_percent || elapsed < internal::pace_time) {
+                continue;
+            }
+            const auto found = m_jobs.find(task.job);
+            if(found == m_jobs.end() || found->second.closing) {
+                continue;
+            }
+            constexpr double whole = 100.0;
+            const auto total_ms = to_ms(elapsed) * whole / static_cast<double>(entry.percent + 1);
+            const auto given_ms = to_ms(found->second.deadline - entry.ordered_at);
+            if(total_ms > given_ms * internal::hopeless_margin) {
+                hopeless.push_back(task.job);
+            }
+        }
+    }
+    for(const auto &id: hopeless) {
+        const auto found = m_jobs.find(id);
+        if(found != m_jobs.end() && !found->second.closing) {
+            finish(found->second, {job::outcome::unknown, errc::deadline_unreachable, {}}, now);
+            erase_if_closed(id, now);
+        }
     }
 }
 
--- a/src/heathermoor/pool/scheduler.hpp
+++ b/src/heathermoor/pool/scheduler.hpp
@@ -86,6 +86,18 @@
     /// @return Number of jobs.
     [[nodiscard]] std::uint32_t waiting(const queue_id &queue) const;
 
+    /// @brief Jobs of which no task has started, by queue.
+    /// @return Number of jobs of each queue that has any.
+    [[nodiscard]] std::map<queue_id, std::uint32_t> waiting() const;
+
+    /// @brief Names the targets that certainly ran nothing for the earlier scheduler.
+    /// @param idle Targets.
+    void assume_idle(std::vector<target_id> idle) { m_holder.assume_idle(std::move(idle)); }
+
+    /// @brief Claims targets again that another holder has given up.
+    /// @param now Current time.
+    void reclaim(time_point now) { m_holder.reclaim(now); }
+
     /// @brief Handles the answer to a start.
     /// @param answer Answer.
     /// @param now Current time.
@@ -182,6 +194,13 @@
         placement::target_health health;
     };
 
+    /// @brief Room of a target during one round of placements.
+    struct candidate {
+        const held_target *target{};
+        resources free;
+        double speed{1.0};
+    };
+
     void open(submission work, time_point now);
     void adopt_orphans(open_job &job, time_point now);
     void finish(open_job &job, const job::answer &answer, time_point now);
@@ -195,9 +214,15 @@
     [[nodiscard]] bool step_ready(const open_job &job, std::uint32_t step) const;
     [[nodiscard]] duration expected_run(const open_job &job) const;
     [[nodiscard]] duration objective(const open_job &job) const;
-    [[nodiscard]] const held_target *choose(const open_job &job, const task_slot &slot, time_point now);
+    [[nodiscard]] std::vector<open_job *> waiting_in_order(time_point now);
+    [[nodiscard]] std::vector<candidate> candidates(time_point now);
+    [[nodiscard]] candidate *choose(const open_job &job, const task_slot &slot, std::vector<candidate> &room) const;
     [[nodiscard]] bool usable(const held_target &target, time_point now);
-    bool place_job(open_job &job, time_point now);
+    [[nodiscard]] duration longest_run(const open_job &job) const;
+    [[nodiscard]] double task_places(const resources &need, const service_id &service) const;
+    void place_job(open_job &job, std::vector<candidate> &room, time_point now);
+    void refuse_hopeless(time_point now);
+    void end_hopeless_runs(time_point now);
 
     answer_port &m_answers;
     target_holder m_holder;
--- a/src/heathermoor/pool/target_holder.cpp
+++ b/src/heathermoor/pool/target_holder.cpp
@@ -2,6 +2,7 @@
 
 #include "heathermoor/core/log.hpp"
 #include <algorithm>
+#include <iterator>
 
 namespace heathermoor::pool {
 
@@ -61,6 +62,7 @@
         m_orders.release(id);
     }
     m_targets.clear();
+    m_assumed_idle.clear();
 }
 
 order_address target_holder::address_of(const held_target &target) const {
@@ -179,6 +181,7 @@
     if(target.state == hold_state::claiming) {
         target.state = hold_state::held;
         target.held_since = now;
+        m_assumed_idle.erase(answer.target);
         m_tokens.accepted();
     }
     const auto changes = target.ledger.reported(answer.report, answer.asked, now);
@@ -306,9 +309,31 @@
     }
 }
 
+void target_holder::assume_idle(std::vector<target_id> idle) {
+    m_assumed_idle = {std::make_move_iterator(idle.begin()), std::make_move_iterator(idle.end())};
+}
+
+void target_holder::reclaim(time_point now) {
+    for(auto &[id, target]: m_targets) {
+        if(target.state == hold_state::fenced || target.state == hold_state::idle) {
+            target.next_claim = now;
+        }
+    }
+}
+
+std::vector<target_id> target_holder::out_of_reach() const {
+    std::vector<target_id> result;
+    for(const auto &[id, target]: m_targets) {
+        if(!target.ledger.busy() && (target.state != hold_state::held || target.silent)) {
+            result.push_back(id);
+        }
+    }
+    return result;
+}
+
 bool target_holder::all_claimed() const noexcept {
-    return std::all_of(m_targets.begin(), m_targets.end(), [](const auto &item) {
-        return item.second.state == hold_state::held || item.second.state == hold_state::fenced || item.second.removed;
+    return !m_targets.empty() && std::all_of(m_targets.begin(), m_targets.end(), [this](const auto &item) {
+        return item.second.state == hold_state::held || m_assumed_idle.contains(item.first);
     });
 }
 
--- a/src/heathermoor/pool/target_holder.hpp
+++ b/src/heathermoor/pool/target_holder.hpp
@@ -5,6 +5,7 @@
 #include "heathermoor/lease/token_source.hpp"
 #include "heathermoor/pool/ports.hpp"
 #include <map>
+#include <set>
 #include <vector>
 
 namespace heathermoor::pool {
@@ -123,8 +124,20 @@
     /// @return Targets by id.
     [[nodiscard]] const std::map<target_id, held_target> &targets() const noexcept { return m_targets; }
 
-    /// @brief Whether every target in scope was asked for its account.
-    /// @return True if each is held, or has been taken by another holder.
+    /// @brief Names the targets that certainly ran nothing for the earlier holder.
+    /// @param idle Targets.
+    void assume_idle(std::vector<target_id> idle);
+
+    /// @brief Claims the targets again that another holder has taken; it has given them up.
+    /// @param now Current time.
+    void reclaim(time_point now);
+
+    /// @brief Targets on which nothing that was ordered here can be at work.
+    /// @return Targets that are silent or taken, without a run.
+    [[nodiscard]] std::vector<target_id> out_of_reach() const;
+
+    /// @brief Whether the account of every target that may run something for an earlier holder is known.
+    /// @return True if each target is held or is known to have been idle.
     [[nodiscard]] bool all_claimed() const noexcept;
 
     /// @brief Claims sent so far.
@@ -144,6 +157,7 @@
     order_port &m_orders;
     holder_listener &m_listener;
     lease::token_source m_tokens;
+    std::set<target_id> m_assumed_idle;
     std::map<target_id, held_target> m_targets;
     std::uint64_t m_claims{};
 };
