Ask for proofs after a hand-over, scope claims by the hosts heard, keep fast targets under load

Cause: after a healed partition the winner counted targets as known whose state it had read before the loser's last orders; runs found in a report were taken as lapsed at once because their lease was not known; a lone host that was cut off claimed every target.

--- a/src/heathermoor/election/fwd.hpp
+++ b/src/heathermoor/election/fwd.hpp
@@ -3,6 +3,8 @@
 namespace heathermoor::election {
 
 struct peer_state;
+struct scope_member;
+class claim_scope;
 class leader_election;
 
 } // namespace heathermoor::election
--- a/src/heathermoor/election/leader_election.cpp
+++ b/src/heathermoor/election/leader_election.cpp
@@ -23,7 +23,7 @@
 constexpr milliseconds heavy_lag{150};
 
 /// Time after which a silent host no longer counts as a member.
-constexpr seconds membership_time{60};
+constexpr seconds membership_time{15};
 
 /// Two leaders that hear the same number of hosts: the longer lead wins by this much at least.
 constexpr milliseconds lead_margin{1'000};
@@ -65,10 +65,10 @@
     return result;
 }
 
-std::vector<std::pair<host_id, failure_domain_id>> leader_election::members() const {
-    std::vector<std::pair<host_id, failure_domain_id>> result{{m_self.id, m_self.domain}};
+std::vector<scope_member> leader_election::members(time_point now) const {
+    std::vector<scope_member> result{{m_self.id, m_self.domain, true}};
     for(const auto &[id, peer]: m_peers) {
-        result.emplace_back(id, peer.state.domain);
+        result.push_back({id, peer.state.domain, is_alive(peer, now)});
     }
     return result;
 }
--- a/src/heathermoor/election/leader_election.hpp
+++ b/src/heathermoor/election/leader_election.hpp
@@ -2,6 +2,7 @@
 
 #include "heathermoor/core/id.hpp"
 #include "heathermoor/core/time.hpp"
+#include "heathermoor/election/claim_scope.hpp"
 #include <map>
 #include <optional>
 #include <vector>
@@ -67,13 +68,10 @@
     /// @return Hosts.
     [[nodiscard]] std::vector<host_id> alive(time_point now) const;
 
-    /// @brief Number of hosts heard within the last minute, the own one included.
-    /// @return Number of hosts.
-    [[nodiscard]] std::uint32_t known() const noexcept { return static_cast<std::uint32_t>(m_peers.size()) + 1; }
-
     /// @brief Hosts known, the own one included.
-    /// @return Hosts and failure domains.
-    [[nodiscard]] std::vector<std::pair<host_id, failure_domain_id>> members() const;
+    /// @param now Current time.
+    /// @return Hosts, and whether they are heard.
+    [[nodiscard]] std::vector<scope_member> members(time_point now) const;
 
   private:
     struct known_peer {
--- a/src/heathermoor/gateway/gateway.cpp
+++ b/src/heathermoor/gateway/gateway.cpp
@@ -65,6 +65,7 @@
     work.age = now - job.arrived;
     work.remaining = job.deadline - now;
     work.clear_in = std::max(duration::zero(), job.clear_at - now);
+    work.earlier = job.several_leaders ? host_id{} : job.earlier;
     m_schedulers.submit(*m_leader, std::move(work));
 }
 
@@ -130,6 +131,8 @@
         for(auto &[id, job]: m_jobs) {
             if(job.handed) {
                 job.handed = false;
+                job.several_leaders = job.several_leaders || !job.earlier.empty();
+                job.earlier = m_leader->host;
                 job.clear_at = now + internal::horizon;
             }
         }
--- a/src/heathermoor/gateway/gateway.hpp
+++ b/src/heathermoor/gateway/gateway.hpp
@@ -154,6 +154,9 @@
         time_point asked_at;
         /// When no run ordered by an earlier leader can be at work.
         time_point clear_at;
+        /// The one earlier leader that had the job; empty for none or several.
+        host_id earlier;
+        bool several_leaders{};
     };
 
     struct past_job {
--- a/src/heathermoor/lease/target_ledger.cpp
+++ b/src/heathermoor/lease/target_ledger.cpp
@@ -10,6 +10,9 @@
 /// Time that a target may need to end a run whose lease has passed.
 constexpr milliseconds lapse_margin{60};
 
+/// Longest lease that a target grants, to any holder: the platform's bound.
+constexpr milliseconds longest_lease{1'000};
+
 /// Ends kept to recognise reports that were overtaken.
 constexpr std::size_t recent_ends = 64;
 
@@ -199,6 +202,7 @@
             entry.percent = listed.percent;
             entry.own = false;
             m_runs.emplace(listed.task, entry);
+            order_lease(report.clock + internal::longest_lease);
             changes.found.push_back({listed.task, listed.run});
             continue;
         }
--- a/src/heathermoor/member/convert.cpp
+++ b/src/heathermoor/member/convert.cpp
@@ -76,6 +76,7 @@
     message.set_remaining_us(work.remaining.count());
     message.set_clear_in_us(work.clear_in.count());
     message.set_term(raw(term));
+    message.set_earlier(work.earlier.str());
     return message;
 }
 
@@ -91,6 +92,7 @@
     work.age = internal::to_duration(message.age_us());
     work.remaining = internal::to_duration(message.remaining_us());
     work.clear_in = internal::to_duration(message.clear_in_us());
+    work.earlier = host_id{message.earlier()};
     return work;
 }
 
--- a/src/heathermoor/member/member.cpp
+++ b/src/heathermoor/member/member.cpp
@@ -22,6 +22,15 @@
 /// Silence of the platform's store after which peers are asked for the list of targets.
 constexpr milliseconds store_patience{2'500};
 
+/// Time between probes of targets in other failure domains, while most hosts are not heard.
+constexpr milliseconds probe_interval{400};
+
+/// Targets probed at once.
+constexpr int probes_at_once = 3;
+
+/// Time for which an answered probe shows that other failure domains can be reached.
+constexpr milliseconds far_reach_time{1'500};
+
 /// Time after which a host that is not heard is no longer passed on to others.
 constexpr seconds gossip_time{20};
 
@@ -90,9 +99,42 @@
 }
 
 void member::update_targets() {
-    if(m_leading && m_targets_revision != m_catalog.revision()) {
-        m_targets_revision = m_catalog.revision();
-        m_scheduler.set_targets(m_catalog.entries());
+    if(!m_leading) {
+        return;
+    }
+    const auto at = now();
+    election::claim_scope scope{m_election.members(at), at - m_far_reached_at < internal::far_reach_time};
+    if(!m_targets_due && m_targets_revision == m_catalog.revision() && scope == m_scope) {
+        return;
+    }
+    if(!(scope == m_scope)) {
+        log(log_level::info, "member", "The hosts that are heard have changed. hears={} majority={}", m_election.self().hears,
+            scope.majority());
+    }
+    m_scope = std::move(scope);
+    m_targets_due = false;
+    m_targets_revision = m_catalog.revision();
+    std::vector<pool::scoped_target> targets;
+    for(auto &entry: m_catalog.entries()) {
+        if(m_scope.includes(entry)) {
+            const auto pause = m_scope.pause(entry);
+            targets.push_back({std::move(entry), pause});
+        }
+    }
+    m_scheduler.set_targets(targets);
+}
+
+void member::probe_far_targets(time_point now) {
+    if(!m_leading || m_scope.majority() || now < m_next_probe) {
+        return;
+    }
+    m_next_probe = now + internal::probe_interval;
+    int sent = 0;
+    for(const auto &entry: m_catalog.entries()) {
+        if(entry.domain != m_settings.domain && sent < internal::probes_at_once) {
+            ++sent;
+            m_ports.orders.report({{entry.id, entry.address, fencing_token{0}}, pool::report_purpose::probe, {}, {}, {}});
+        }
     }
 }
 
@@ -196,9 +238,12 @@
     peer.catalog_next = log_offset{beat.catalog_next()};
     const bool gave_up = peer.leading && !beat.leading();
     peer.leading = beat.leading();
-    peer.idle_targets.clear();
-    for(const auto &target: beat.idle_targets()) {
-        peer.idle_targets.emplace_back(target);
+    if(beat.leading()) {
+        std::vector<target_id> idle;
+        for(const auto &target: beat.idle_targets()) {
+            idle.emplace_back(target);
+        }
+        m_scheduler.note_idle(from, std::move(idle));
     }
     if(gave_up && m_leading) {
         m_scheduler.reclaim(at);
@@ -336,6 +381,11 @@
 }
 
 void member::report_answered(const pool::report_answer &answer) {
+    if(answer.purpose == pool::report_purpose::probe) {
+        const bool reached = answer.outcome == lease::order_outcome::done || answer.outcome == lease::order_outcome::fenced;
+        m_far_reached_at = reached ? now() : m_far_reached_at;
+        return;
+    }
     if(m_leading) {
         m_scheduler.report_answered(answer, now());
         settle();
@@ -354,13 +404,9 @@
     if(lead && !m_leading) {
         m_term = leader_term{static_cast<std::uint64_t>(m_ports.clock.unix_now().count())};
         m_leading = true;
-        m_targets_revision = ~std::uint64_t{0};
+        m_targets_due = true;
         log(log_level::info, "member", "This host schedules the pool now. term={} hears={}", raw(m_term), m_election.self().hears);
         update_targets();
-        const auto earlier = m_peers.find(m_earlier_leader);
-        if(earlier != m_peers.end()) {
-            m_scheduler.assume_idle(earlier->second.idle_targets);
-        }
         m_next_beat = now;
     } else if(!lead && m_leading) {
         log(log_level::info, "member", "This host no longer schedules the pool. term={}", raw(m_term));
@@ -377,9 +423,6 @@
             leader = gateway::leader_ref{*chosen, peer->second.term};
         }
     }
-    if(leader && !lead) {
-        m_earlier_leader = leader->host;
-    }
     if(leader != m_leader) {
         m_leader = leader;
         m_gateway.set_leader(leader, now);
@@ -452,10 +495,10 @@
     const auto at = now();
     auto &lag = m_election.self().lag;
     lag = std::max(late, lag * 9 / 10);
-    if(m_catalog.expire(at)) {
-        update_targets();
-    }
+    (void)m_catalog.expire(at);
     decide_leader(at);
+    update_targets();
+    probe_far_targets(at);
     m_gateway.tick(at);
     if(m_leading) {
         m_scheduler.vouch(m_settings.self, at + internal::vouch_time);
--- a/src/heathermoor/member/member.hpp
+++ b/src/heathermoor/member/member.hpp
@@ -156,7 +156,6 @@
         std::uint64_t config_version{};
         log_offset catalog_next{};
         bool leading{};
-        std::vector<target_id> idle_targets;
     };
 
     [[nodiscard]] time_point now() const { return m_ports.clock.now(); }
@@ -174,6 +173,7 @@
     void decide_leader(time_point now);
     void pull_from_peers(time_point now);
     void update_targets();
+    void probe_far_targets(time_point now);
 
     settings m_settings;
     ports m_ports;
@@ -186,12 +186,14 @@
     std::set<host_id> m_addresses;
     std::deque<wire::envelope> m_inbox;
     std::optional<gateway::leader_ref> m_leader;
-    /// Latest leader that was another host.
-    host_id m_earlier_leader;
+    election::claim_scope m_scope{{}, false};
+    time_point m_next_probe{};
+    time_point m_far_reached_at{};
     std::map<queue_id, std::uint32_t> m_waiting;
     bool m_leading{};
     leader_term m_term{};
-    std::uint64_t m_targets_revision{~std::uint64_t{0}};
+    bool m_targets_due{};
+    std::uint64_t m_targets_revision{};
     time_point m_next_beat{};
     time_point m_next_pull{};
     time_point m_store_answered{};
--- a/src/heathermoor/pool/ports.hpp
+++ b/src/heathermoor/pool/ports.hpp
@@ -43,6 +43,8 @@
     follow,
     /// Renews the lease while another call waits.
     renew,
+    /// Only finds out whether the target can be reached; carries no token.
+    probe,
 };
 
 /// @brief Asks a target for its account of its runs, and renews their lease.
--- a/src/heathermoor/pool/scheduler.cpp
+++ b/src/heathermoor/pool/scheduler.cpp
@@ -4,6 +4,8 @@
 #include "heathermoor/core/log.hpp"
 #include <algorithm>
 #include <cmath>
+#include <iterator>
+#include <limits>
 #include <utility>
 
 namespace heathermoor::pool {
@@ -18,10 +20,10 @@
 
 /// Time in which an entry host hands its jobs to a new scheduler; runs that
 /// belong to no known job are stopped after it.
-constexpr milliseconds orphan_time{400};
+constexpr milliseconds orphan_time{700};
 
 /// Time after which a job with a task out of reach is answered as unknown.
-constexpr milliseconds out_of_reach_time{500};
+constexpr milliseconds out_of_reach_time{700};
 
 /// Step by which a run's number rises after a target rejected it as too low.
 constexpr std::uint64_t run_number_step = 16;
@@ -34,6 +36,16 @@
 /// tasks that run longer than expected.
 constexpr double waiting_share = 0.9;
 
+/// Share of all room that has to be free for work to go to the fastest targets
+/// first; with less, they are kept for the jobs that need them.
+constexpr double plentiful_share = 0.4;
+
+/// Speeds within this share count as equal; the tighter fit decides then.
+constexpr double equal_speed = 0.08;
+
+/// Margin on the speed that a job needs to meet its objective.
+constexpr double speed_margin = 1.25;
+
 /// Progress below which a run's pace says too little of its end.
 constexpr std::int64_t least_percent = 1;
 
@@ -61,8 +73,8 @@
 
 } // namespace internal
 
-void scheduler::set_targets(const std::vector<catalog::target_entry> &entries) {
-    m_holder.set_targets(entries);
+void scheduler::set_targets(const std::vector<scoped_target> &targets) {
+    m_holder.set_targets(targets);
     m_place_due = true;
 }
 
@@ -101,7 +113,9 @@
     job.hosts.push_back(work.from);
     job.sent_at = now - work.age;
     job.deadline = now + work.remaining - internal::answer_margin;
+    job.opened_at = now;
     job.clear_at = now + work.clear_in;
+    job.earlier = work.earlier;
     job.ever_started = work.clear_in > duration::zero();
     job.job = std::move(work.job);
     for(std::uint32_t step = 0; step < job.job.steps.size(); ++step) {
@@ -114,10 +128,26 @@
     }
     const auto id = job.job.id;
     auto &stored = m_jobs.insert_or_assign(id, std::move(job)).first->second;
+    if(stored.clear_at > now) {
+        m_holder.prove_all(now);
+    }
     adopt_orphans(stored, now);
     m_place_due = true;
 }
 
+void scheduler::note_idle(const host_id &host, std::vector<target_id> idle) {
+    m_idle_elsewhere[host] = {std::make_move_iterator(idle.begin()), std::make_move_iterator(idle.end())};
+}
+
+bool scheduler::clear(const open_job &job, time_point now) const {
+    if(now >= job.clear_at) {
+        return true;
+    }
+    static const std::set<target_id> none;
+    const auto idle = m_idle_elsewhere.find(job.earlier);
+    return m_holder.proved(job.opened_at, idle == m_idle_elsewhere.end() ? none : idle->second);
+}
+
 void scheduler::adopt_orphans(open_job &job, time_point now) {
     for(auto &slot: job.slots) {
         const job::task_ref task{job.job.id, slot.step, slot.index};
@@ -390,6 +420,7 @@
     end_hopeless_runs(now);
     std::erase_if(m_past, [now](const auto &item) { return now - item.second.at > internal::past_answer_time; });
     std::erase_if(m_orphan_ends, [now](const auto &item) { return now - item.second.ended_at > internal::past_answer_time; });
+    m_place_due = true;
     place(now);
     refuse_hopeless(now);
 }
@@ -512,43 +543,32 @@
             continue;
         }
         const auto free = target.ledger.free();
-        if(free.cpu_millicores > 0) {
-            room.push_back({&target, free, m_speeds.speed(id)});
-        }
+        room.push_back({&target, free, m_speeds.speed(id)});
     }
     return room;
 }
 
-scheduler::candidate *scheduler::choose(const open_job &job, const task_slot &slot, std::vector<candidate> &room) const {
-    /// Speeds within this share count as equal; the tighter fit decides then.
-    constexpr double equal_speed = 0.05;
+double scheduler::needed_speed(const open_job &job, time_point now) const {
+    const auto limit = std::min(job.sent_at + objective(job), job.deadline);
+    const auto left_ms = to_ms(limit - now);
+    return left_ms > 0 ? to_ms(longest_run(job)) * internal::speed_margin / left_ms : 0;
+}
+
+scheduler::candidate *scheduler::choose(const open_job &job, const task_slot &slot, double least_speed,
+                                        std::vector<candidate> &room) const {
     const auto &step = job.job.steps[slot.step];
     candidate *best = nullptr;
     double best_speed = 0;
     std::int64_t best_left = 0;
     for(auto &one: room) {
-        const auto &entry = one.target->entry;
-        const auto &labels = entry.labels;
-        const auto has_label = [&labels](const std::string &label) { return std::find(labels.begin(), labels.end(), label) != labels.end(); };
-        if(entry.service != job.queue.service || !step.need.fits(one.free)) {
-            continue;
-        }
-        if(!step.required_label.empty() && !has_label(step.required_label)) {
+        if(one.target->entry.service != job.queue.service || !step.need.fits(one.free) || !suits(job, slot, one)) {
             continue;
         }
-        if(step.max_per_target > 0) {
-            const auto same = std::count_if(job.slots.begin(), job.slots.end(), [&](const task_slot &other) {
-                return other.step == slot.step && other.state == slot_state::placed && other.target == entry.id;
-            });
-            if(same >= static_cast<std::ptrdiff_t>(step.max_per_target)) {
-                continue;
-            }
-        }
-        const auto speed = !step.preferred_rack.empty() && !has_label(step.preferred_rack) ? one.speed / 2 : one.speed;
+        const auto &labels = one.target->entry.labels;
+        const bool near = step.preferred_rack.empty() || std::find(labels.begin(), labels.end(), step.preferred_rack) != labels.end();
+        const auto speed = near ? one.speed : one.speed / 2;
         const auto left = one.free.cpu_millicores - step.need.cpu_millicores;
-        const bool faster = speed > best_speed * (1 + equal_speed);
-        const bool tighter = speed > best_speed * (1 - equal_speed) && left < best_left;
-        if(best == nullptr || faster || tighter) {
+        if(best == nullptr || better({speed, left}, {best_speed, best_left}, least_speed)) {
             best = &one;
             best_speed = speed;
             best_left = left;
@@ -557,12 +577,40 @@
     return best;
 }
 
-void scheduler::place_job(open_job &job, std::vector<candidate> &room, time_point now) {
+bool scheduler::suits(const open_job &job, const task_slot &slot, const candidate &one) {
+    const auto &step = job.job.steps[slot.step];
+    const auto &entry = one.target->entry;
+    if(!step.required_label.empty() && std::find(entry.labels.begin(), entry.labels.end(), step.required_label) == entry.labels.end()) {
+        return false;
+    }
+    if(step.max_per_target == 0) {
+        return true;
+    }
+    const auto same = std::count_if(job.slots.begin(), job.slots.end(), [&](const task_slot &other) {
+        return other.step == slot.step && other.state == slot_state::placed && other.target == entry.id;
+    });
+    return same < static_cast<std::ptrdiff_t>(step.max_per_target);
+}
+
+bool scheduler::better(const fit &left, const fit &right, double least_speed) noexcept {
+    const bool left_enough = left.speed >= least_speed;
+    const bool right_enough = right.speed >= least_speed;
+    if(left_enough != right_enough) {
+        return left_enough;
+    }
+    const auto ratio = left.speed / right.speed;
+    if(ratio > 1 - internal::equal_speed && ratio < 1 + internal::equal_speed) {
+        return left.cpu_left < right.cpu_left;
+    }
+    return left_enough ? ratio < 1 : ratio > 1;
+}
+
+void scheduler::place_job(open_job &job, double least_speed, std::vector<candidate> &room, time_point now) {
     for(auto &slot: job.slots) {
         if(slot.state != slot_state::waiting || !step_ready(job, slot.step)) {
             continue;
         }
-        auto *chosen = choose(job, slot, room);
+        auto *chosen = choose(job, slot, least_speed, room);
         if(chosen == nullptr) {
             return;
         }
@@ -579,12 +627,11 @@
 }
 
 std::vector<scheduler::open_job *> scheduler::waiting_in_order(time_point now) {
-    const bool all_claimed = m_holder.all_claimed();
     std::vector<open_job *> result;
     for(auto &[id, job]: m_jobs) {
-        const bool clear = all_claimed || now >= job.clear_at;
-        if(!job.closing && clear &&
-           std::any_of(job.slots.begin(), job.slots.end(), [](const task_slot &slot) { return slot.state == slot_state::waiting; })) {
+        if(!job.closing &&
+           std::any_of(job.slots.begin(), job.slots.end(), [](const task_slot &slot) { return slot.state == slot_state::waiting; }) &&
+           clear(job, now)) {
             result.push_back(&job);
         }
     }
@@ -594,6 +641,16 @@
     return result;
 }
 
+bool scheduler::plentiful(const std::vector<candidate> &room) {
+    resources free;
+    resources capacity;
+    for(const auto &one: room) {
+        free += one.free;
+        capacity += one.target->entry.capacity;
+    }
+    return static_cast<double>(free.cpu_millicores) > internal::plentiful_share * static_cast<double>(capacity.cpu_millicores);
+}
+
 void scheduler::place(time_point now) {
     if(!m_place_due) {
         return;
@@ -603,8 +660,9 @@
     if(room.empty()) {
         return;
     }
+    const bool fastest = plentiful(room);
     for(auto *job: waiting_in_order(now)) {
-        place_job(*job, room, now);
+        place_job(*job, fastest ? std::numeric_limits<double>::infinity() : needed_speed(*job, now), room, now);
         std::erase_if(room, [](const candidate &one) { return one.free.cpu_millicores <= 0; });
         if(room.empty()) {
             break;
--- a/src/heathermoor/pool/scheduler.hpp
+++ b/src/heathermoor/pool/scheduler.hpp
@@ -9,6 +9,7 @@
 #include <cstdint>
 #include <map>
 #include <optional>
+#include <set>
 #include <string>
 #include <unordered_map>
 #include <vector>
@@ -28,6 +29,8 @@
     /// Time for which runs ordered by an earlier scheduler may be at work
     /// unseen; zero if the job was handed to nobody before.
     duration clear_in{};
+    /// The one earlier scheduler that had the job; empty for none or several.
+    host_id earlier;
 };
 
 /// @brief Counts of the scheduler, for metrics and heartbeats.
@@ -53,8 +56,8 @@
         : m_answers{answers}, m_holder{orders, *this, tokens} {}
 
     /// @brief Sets the targets to use.
-    /// @param entries Targets in scope.
-    void set_targets(const std::vector<catalog::target_entry> &entries);
+    /// @param targets Targets in scope.
+    void set_targets(const std::vector<scoped_target> &targets);
 
     /// @brief Gives up all targets and jobs; entry hosts hand theirs to the next scheduler.
     void resign();
@@ -90,9 +93,10 @@
     /// @return Number of jobs of each queue that has any.
     [[nodiscard]] std::map<queue_id, std::uint32_t> waiting() const;
 
-    /// @brief Names the targets that certainly ran nothing for the earlier scheduler.
+    /// @brief Names the targets that certainly run nothing for another scheduler.
+    /// @param host Host of that scheduler.
     /// @param idle Targets.
-    void assume_idle(std::vector<target_id> idle) { m_holder.assume_idle(std::move(idle)); }
+    void note_idle(const host_id &host, std::vector<target_id> idle);
 
     /// @brief Claims targets again that another holder has given up.
     /// @param now Current time.
@@ -164,7 +168,9 @@
         std::vector<task_slot> slots;
         time_point sent_at;
         time_point deadline;
+        time_point opened_at;
         time_point clear_at;
+        host_id earlier;
         bool ever_started{};
         /// Answered; waits until nothing of it is at work.
         bool closing{};
@@ -201,10 +207,18 @@
         double speed{1.0};
     };
 
+    /// @brief How well a target suits a task.
+    struct fit {
+        double speed{1.0};
+        /// Room that would be left.
+        std::int64_t cpu_left{};
+    };
+
     void open(submission work, time_point now);
     void adopt_orphans(open_job &job, time_point now);
     void finish(open_job &job, const job::answer &answer, time_point now);
     void close(open_job &job, time_point now);
+    [[nodiscard]] bool clear(const open_job &job, time_point now) const;
     void erase_if_closed(const job_id &id, time_point now);
     void end_overdue(time_point now);
     void drop_lost_hosts(time_point now);
@@ -216,11 +230,15 @@
     [[nodiscard]] duration objective(const open_job &job) const;
     [[nodiscard]] std::vector<open_job *> waiting_in_order(time_point now);
     [[nodiscard]] std::vector<candidate> candidates(time_point now);
-    [[nodiscard]] candidate *choose(const open_job &job, const task_slot &slot, std::vector<candidate> &room) const;
+    [[nodiscard]] candidate *choose(const open_job &job, const task_slot &slot, double least_speed, std::vector<candidate> &room) const;
+    [[nodiscard]] static bool suits(const open_job &job, const task_slot &slot, const candidate &one);
+    [[nodiscard]] static bool better(const fit &left, const fit &right, double least_speed) noexcept;
+    [[nodiscard]] double needed_speed(const open_job &job, time_point now) const;
     [[nodiscard]] bool usable(const held_target &target, time_point now);
     [[nodiscard]] duration longest_run(const open_job &job) const;
     [[nodiscard]] double task_places(const resources &need, const service_id &service) const;
-    void place_job(open_job &job, std::vector<candidate> &room, time_point now);
+    void place_job(open_job &job, double least_speed, std::vector<candidate> &room, time_point now);
+    [[nodiscard]] static bool plentiful(const std::vector<candidate> &room);
     void refuse_hopeless(time_point now);
     void end_hopeless_runs(time_point now);
 
@@ -234,6 +252,7 @@
     std::unordered_map<job::task_ref, orphan_run> m_orphans;
     std::unordered_map<job::task_ref, orphan_end> m_orphan_ends;
     std::unordered_map<host_id, time_point> m_vouched;
+    std::map<host_id, std::set<target_id>> m_idle_elsewhere;
     scheduler_counts m_counts;
     bool m_place_due{};
 };
--- a/src/heathermoor/pool/speed_model.cpp
+++ b/src/heathermoor/pool/speed_model.cpp
@@ -24,7 +24,8 @@
         return 1.0;
     }
     const auto weight = found->second.samples / (found->second.samples + internal::prior_samples);
-    return std::exp(-found->second.mean_log_ratio * weight);
+    const auto mean = m_sum / static_cast<double>(m_targets.size());
+    return std::exp((mean - found->second.mean_log_ratio) * weight);
 }
 
 void speed_model::observe(const target_id &target, duration observed, duration expected) {
@@ -34,7 +35,17 @@
     const auto ratio = std::clamp(to_ms(observed) / to_ms(expected), 1.0 / internal::largest_ratio, internal::largest_ratio);
     auto &known = m_targets[target];
     known.samples = std::min(known.samples + 1, internal::window_samples);
-    known.mean_log_ratio += (std::log(ratio) - known.mean_log_ratio) / known.samples;
+    const auto change = (std::log(ratio) - known.mean_log_ratio) / known.samples;
+    known.mean_log_ratio += change;
+    m_sum += change;
+}
+
+void speed_model::forget(const target_id &target) {
+    const auto found = m_targets.find(target);
+    if(found != m_targets.end()) {
+        m_sum -= found->second.mean_log_ratio;
+        m_targets.erase(found);
+    }
 }
 
 } // namespace heathermoor::pool
--- a/src/heathermoor/pool/speed_model.hpp
+++ b/src/heathermoor/pool/speed_model.hpp
@@ -22,7 +22,7 @@
 
     /// @brief Forgets a target, as after a restart as another kind.
     /// @param target Target.
-    void forget(const target_id &target) { m_targets.erase(target); }
+    void forget(const target_id &target);
 
   private:
     struct statistics {
@@ -31,6 +31,8 @@
     };
 
     std::unordered_map<target_id, statistics> m_targets;
+    /// Sum of the mean ratios of all targets, so that speeds stay relative to the mean.
+    double m_sum{};
 };
 
 } // namespace heathermoor::pool
--- a/src/heathermoor/pool/target_holder.cpp
+++ b/src/heathermoor/pool/target_holder.cpp
@@ -29,21 +29,19 @@
 /// Time between claims that found no answer.
 constexpr milliseconds claim_retry{250};
 
-/// Time for which a target is left to the holder that took it.
-constexpr milliseconds fenced_pause{1'500};
-
 /// Time between stops of one run.
 constexpr milliseconds stop_retry{200};
 
 } // namespace internal
 
-void target_holder::set_targets(const std::vector<catalog::target_entry> &entries) {
+void target_holder::set_targets(const std::vector<scoped_target> &targets) {
     for(auto &[id, target]: m_targets) {
         target.removed = true;
     }
-    for(const auto &entry: entries) {
+    for(const auto &[entry, fenced_pause]: targets) {
         auto &target = m_targets[entry.id];
         target.entry = entry;
+        target.fenced_pause = fenced_pause;
         target.ledger.set_capacity(entry.capacity);
         target.removed = false;
     }
@@ -62,7 +60,6 @@
         m_orders.release(id);
     }
     m_targets.clear();
-    m_assumed_idle.clear();
 }
 
 order_address target_holder::address_of(const held_target &target) const {
@@ -178,10 +175,10 @@
         return;
     }
     target.silent = false;
+    target.proved_at = std::max(target.proved_at, answer.asked);
     if(target.state == hold_state::claiming) {
         target.state = hold_state::held;
         target.held_since = now;
-        m_assumed_idle.erase(answer.target);
         m_tokens.accepted();
     }
     const auto changes = target.ledger.reported(answer.report, answer.asked, now);
@@ -216,7 +213,7 @@
     }
     log(log_level::info, "pool", "Another host holds the target now. target={} runs={}", target.entry.id.str(), runs.size());
     target.state = hold_state::fenced;
-    target.next_claim = now + internal::fenced_pause;
+    target.next_claim = now + target.fenced_pause;
     target.following = false;
     target.renewing = false;
     target.ledger = lease::target_ledger{target.entry.capacity};
@@ -254,10 +251,13 @@
     if(target.renewing) {
         return;
     }
-    const auto until = target.ledger.lease_until(internal::lease_length, now);
-    target.ledger.order_lease(until);
+    report_order order{address_of(target), report_purpose::renew, std::nullopt, target.ledger.last_end(), milliseconds{0}};
+    if(target.ledger.busy()) {
+        order.until = target.ledger.lease_until(internal::lease_length, now);
+        target.ledger.order_lease(*order.until);
+    }
     target.renewing = true;
-    m_orders.report({address_of(target), report_purpose::renew, until, target.ledger.last_end(), milliseconds{0}});
+    m_orders.report(order);
 }
 
 void target_holder::resolve_doubts(held_target &target, time_point now) {
@@ -297,7 +297,8 @@
             } else if(now > target.answer_due) {
                 target.silent = true;
             }
-            if(target.ledger.busy() && target.ledger.lease_left(now) < internal::renew_below) {
+            const bool lease_due = target.ledger.busy() && target.ledger.lease_left(now) < internal::renew_below;
+            if(lease_due || target.proved_at < target.proof_wanted) {
                 renew(target, now);
             }
             resolve_doubts(target, now);
@@ -309,8 +310,13 @@
     }
 }
 
-void target_holder::assume_idle(std::vector<target_id> idle) {
-    m_assumed_idle = {std::make_move_iterator(idle.begin()), std::make_move_iterator(idle.end())};
+void target_holder::prove_all(time_point now) {
+    for(auto &[id, target]: m_targets) {
+        target.proof_wanted = now;
+        if(target.state == hold_state::held) {
+            renew(target, now);
+        }
+    }
 }
 
 void target_holder::reclaim(time_point now) {
@@ -331,9 +337,10 @@
     return result;
 }
 
-bool target_holder::all_claimed() const noexcept {
-    return !m_targets.empty() && std::all_of(m_targets.begin(), m_targets.end(), [this](const auto &item) {
-        return item.second.state == hold_state::held || m_assumed_idle.contains(item.first);
+bool target_holder::proved(time_point since, const std::set<target_id> &idle) const {
+    return !m_targets.empty() && std::all_of(m_targets.begin(), m_targets.end(), [&](const auto &item) {
+        const auto &target = item.second;
+        return (target.state == hold_state::held && target.proved_at >= since) || idle.contains(item.first);
     });
 }
 
--- a/src/heathermoor/pool/target_holder.hpp
+++ b/src/heathermoor/pool/target_holder.hpp
@@ -34,6 +34,13 @@
     virtual void target_taken(const target_id &target, const std::vector<job::task_ref> &runs, time_point now) = 0;
 };
 
+/// @brief Target that this host is to hold.
+struct scoped_target {
+    catalog::target_entry entry;
+    /// Pause before it is claimed again when another holder has taken it.
+    milliseconds fenced_pause{};
+};
+
 /// @brief Whether and how a target is held.
 enum class hold_state : std::uint8_t { idle, claiming, held, fenced };
 
@@ -47,6 +54,12 @@
     time_point next_claim;
     /// When the target was taken over.
     time_point held_since;
+    /// When the latest report was asked for that the target answered to this holder.
+    time_point proved_at;
+    /// Since when a report is wanted, whatever is known.
+    time_point proof_wanted;
+    /// Pause before a claim after another holder has taken the target.
+    milliseconds fenced_pause{};
     bool following{};
     bool renewing{};
     /// When the call that waits for ends has to be answered at the latest.
@@ -72,8 +85,8 @@
         : m_orders{orders}, m_listener{listener}, m_tokens{tokens} {}
 
     /// @brief Sets the targets that this host is to hold.
-    /// @param entries Targets in scope.
-    void set_targets(const std::vector<catalog::target_entry> &entries);
+    /// @param targets Targets in scope.
+    void set_targets(const std::vector<scoped_target> &targets);
 
     /// @brief Gives up all targets without a word to them.
     void release_all();
@@ -124,9 +137,9 @@
     /// @return Targets by id.
     [[nodiscard]] const std::map<target_id, held_target> &targets() const noexcept { return m_targets; }
 
-    /// @brief Names the targets that certainly ran nothing for the earlier holder.
-    /// @param idle Targets.
-    void assume_idle(std::vector<target_id> idle);
+    /// @brief Asks every held target for its account.
+    /// @param now Current time.
+    void prove_all(time_point now);
 
     /// @brief Claims the targets again that another holder has taken; it has given them up.
     /// @param now Current time.
@@ -136,9 +149,11 @@
     /// @return Targets that are silent or taken, without a run.
     [[nodiscard]] std::vector<target_id> out_of_reach() const;
 
-    /// @brief Whether the account of every target that may run something for an earlier holder is known.
-    /// @return True if each target is held or is known to have been idle.
-    [[nodiscard]] bool all_claimed() const noexcept;
+    /// @brief Whether the account of every target is known as it was at some time or later.
+    /// @param since Time.
+    /// @param idle Targets that need no account.
+    /// @return True if each target has given its account to this holder since, or is idle.
+    [[nodiscard]] bool proved(time_point since, const std::set<target_id> &idle) const;
 
     /// @brief Claims sent so far.
     /// @return Number of claims.
@@ -157,7 +172,6 @@
     order_port &m_orders;
     holder_listener &m_listener;
     lease::token_source m_tokens;
-    std::set<target_id> m_assumed_idle;
     std::map<target_id, held_target> m_targets;
     std::uint64_t m_claims{};
 };
