--- a/src/heathermoor/catalog/target_catalog.cpp
+++ b/src/heathermoor/catalog/target_catalog.cpp
@@ -10,6 +10,10 @@
 /// promises two seconds after its list's return.
 constexpr milliseconds removal_grace{2'500};
 
+/// Time for which a dropped target is remembered: it may live on behind a
+/// partition and run what another scheduler ordered.
+constexpr seconds memory_time{60};
+
 } // namespace internal
 
 void target_catalog::apply(const catalog_record &record, time_point now) {
@@ -54,14 +58,30 @@
 }
 
 bool target_catalog::expire(time_point now) {
-    const auto dropped = std::erase_if(m_slots, [now](const auto &item) {
+    std::erase_if(m_dropped, [now](const auto &item) { return now - item.second >= internal::memory_time; });
+    const auto dropped = std::erase_if(m_slots, [&](const auto &item) {
         const auto &removed_at = item.second.removed_at;
-        return removed_at && now - *removed_at >= internal::removal_grace;
+        const bool over = removed_at && now - *removed_at >= internal::removal_grace;
+        if(over) {
+            m_dropped[item.first] = now;
+        }
+        return over;
     });
     m_revision += dropped;
     return dropped > 0;
 }
 
+std::set<target_id> target_catalog::known() const {
+    std::set<target_id> result;
+    for(const auto &[id, slot]: m_slots) {
+        result.insert(id);
+    }
+    for(const auto &[id, at]: m_dropped) {
+        result.insert(id);
+    }
+    return result;
+}
+
 std::vector<target_entry> target_catalog::entries() const {
     std::vector<target_entry> result;
     result.reserve(m_slots.size());
--- a/src/heathermoor/catalog/target_catalog.hpp
+++ b/src/heathermoor/catalog/target_catalog.hpp
@@ -5,6 +5,7 @@
 #include "heathermoor/core/time.hpp"
 #include <map>
 #include <optional>
+#include <set>
 #include <string>
 #include <vector>
 
@@ -66,6 +67,10 @@
     /// @return Entries by id, draining ones included.
     [[nodiscard]] std::vector<target_entry> entries() const;
 
+    /// @brief Every target that exists or existed within the last minute.
+    /// @return Identifiers.
+    [[nodiscard]] std::set<target_id> known() const;
+
     /// @brief Records that recreate this catalog elsewhere.
     /// @return Records of all entries.
     [[nodiscard]] std::vector<catalog_record> records() const;
@@ -87,6 +92,8 @@
     };
 
     std::map<target_id, listed> m_slots;
+    /// When targets were dropped, kept for a while.
+    std::map<target_id, time_point> m_dropped;
     log_offset m_next{};
     std::uint64_t m_revision{};
 };
--- a/src/heathermoor/election/leader_election.cpp
+++ b/src/heathermoor/election/leader_election.cpp
@@ -111,6 +111,13 @@
     return best;
 }
 
+bool leader_election::leader_elsewhere(time_point now) const {
+    return std::any_of(m_peers.begin(), m_peers.end(), [&](const auto &item) {
+        const auto &follows = item.second.state.follows;
+        return is_alive(item.second, now) && !follows.empty() && follows != m_self.id && follows != item.first;
+    });
+}
+
 std::optional<host_id> leader_election::decide(time_point now) {
     std::erase_if(m_peers, [now](const auto &item) { return now - item.second.heard_at > internal::membership_time; });
     m_self.hears = static_cast<std::uint32_t>(alive(now).size()) + 1;
@@ -125,7 +132,8 @@
     const auto waited = now - m_leaderless_since;
     const auto candidate = best_candidate(now);
     const bool first = candidate.id == m_self.id;
-    const auto patience = first ? internal::settle_time : internal::settle_time + internal::yield_time;
+    const bool patient = !first || leader_elsewhere(now);
+    const auto patience = patient ? internal::settle_time + internal::yield_time : internal::settle_time;
     if((m_self.draining && !candidate.draining) || waited < patience) {
         return std::nullopt;
     }
--- a/src/heathermoor/election/leader_election.hpp
+++ b/src/heathermoor/election/leader_election.hpp
@@ -24,6 +24,8 @@
     duration lag{};
     /// Time since the host began to lead.
     duration leading_for{};
+    /// Host that it takes for the leader; empty for none.
+    host_id follows;
 };
 
 /// @brief Chooses the host that schedules the pool, from heartbeats alone.
@@ -82,6 +84,7 @@
 
     [[nodiscard]] bool is_alive(const known_peer &peer, time_point now) const noexcept;
     [[nodiscard]] std::optional<peer_state> best_leader(time_point now) const;
+    [[nodiscard]] bool leader_elsewhere(time_point now) const;
     [[nodiscard]] peer_state best_candidate(time_point now) const;
 
     peer_state m_self;
--- a/src/heathermoor/gateway/gateway.cpp
+++ b/src/heathermoor/gateway/gateway.cpp
@@ -1,6 +1,6 @@
 #include "heathermoor/gateway/gateway.hpp"
 
-#include "heathermoor/core/log.hpp"
+#include "heathermoor/core/event.hpp"
 #include <algorithm>
 
 namespace heathermoor::gateway {
@@ -65,6 +65,8 @@
     work.age = now - job.arrived;
     work.remaining = job.deadline - now;
     work.clear_in = std::max(duration::zero(), job.clear_at - now);
+    log_event(job.clear_at > now ? log_level::info : log_level::debug, "gateway", "job_handed",
+              {{"job", job.job.id}, {"leader", m_leader->host}, {"term", m_leader->term}, {"clear_in_ms", work.clear_in}});
     work.earlier = job.several_leaders ? host_id{} : job.earlier;
     m_schedulers.submit(*m_leader, std::move(work));
 }
@@ -169,6 +171,9 @@
     const auto requests = std::move(entry->second.requests);
     m_jobs.erase(entry);
     count(answer.result);
+    const bool whole = answer.result == job::outcome::completed;
+    log_event(whole ? log_level::debug : log_level::info, "gateway", "job_ended",
+              {{"job", id}, {"outcome", job::name_of(answer.result)}, {"reason", code_name(answer.reason)}, {"callers", requests.size()}});
     if(answer.result == job::outcome::completed || answer.result == job::outcome::failed) {
         m_past[id] = {answer, now};
     }
--- a/src/heathermoor/job/job.hpp
+++ b/src/heathermoor/job/job.hpp
@@ -8,6 +8,7 @@
 #include <cstdint>
 #include <functional>
 #include <string>
+#include <string_view>
 #include <vector>
 
 namespace heathermoor::job {
@@ -72,6 +73,23 @@
     unknown,
 };
 
+/// @brief Name of an outcome, as logs show it.
+/// @param result Outcome.
+/// @return Name in snake case.
+[[nodiscard]] constexpr std::string_view name_of(outcome result) noexcept {
+    switch(result) {
+    case outcome::completed:
+        return "completed";
+    case outcome::failed:
+        return "failed";
+    case outcome::refused:
+        return "refused";
+    case outcome::unknown:
+        break;
+    }
+    return "unknown";
+}
+
 /// @brief Final answer to a job.
 struct answer {
     outcome result{outcome::unknown};
--- a/src/heathermoor/lease/target_ledger.cpp
+++ b/src/heathermoor/lease/target_ledger.cpp
@@ -29,6 +29,24 @@
 
 } // namespace internal
 
+std::string_view name_of(run_end how) noexcept {
+    switch(how) {
+    case run_end::done:
+        return "done";
+    case run_end::failed:
+        return "failed";
+    case run_end::stopped:
+        return "stopped";
+    case run_end::lapsed:
+        return "lapsed";
+    case run_end::not_started:
+        return "not_started";
+    case run_end::lost:
+        break;
+    }
+    return "lost";
+}
+
 resources target_ledger::free() const noexcept {
     if(m_unknown_needs > 0) {
         return {};
--- a/src/heathermoor/lease/target_ledger.hpp
+++ b/src/heathermoor/lease/target_ledger.hpp
@@ -8,6 +8,7 @@
 #include <cstdint>
 #include <deque>
 #include <optional>
+#include <string_view>
 #include <unordered_map>
 #include <utility>
 #include <vector>
@@ -49,6 +50,11 @@
     lost,
 };
 
+/// @brief Name of an end, as logs show it.
+/// @param how End.
+/// @return Name in snake case.
+[[nodiscard]] std::string_view name_of(run_end how) noexcept;
+
 /// @brief Run that a target reports as at work.
 struct reported_run {
     job::task_ref task;
--- a/src/heathermoor/member/member.cpp
+++ b/src/heathermoor/member/member.cpp
@@ -1,7 +1,7 @@
 #include "heathermoor/member/member.hpp"
 
 #include "heathermoor/core/hash.hpp"
-#include "heathermoor/core/log.hpp"
+#include "heathermoor/core/event.hpp"
 #include "heathermoor/member/convert.hpp"
 #include <algorithm>
 
@@ -22,6 +22,10 @@
 /// Silence of the platform's store after which peers are asked for the list of targets.
 constexpr milliseconds store_patience{2'500};
 
+/// Time for which a minority that hears more hosts again waits before it holds
+/// all targets: their scheduler is about to be heard.
+constexpr milliseconds widen_time{600};
+
 /// Time between probes of targets in other failure domains, while most hosts are not heard.
 constexpr milliseconds probe_interval{400};
 
@@ -34,6 +38,14 @@
 /// Time after which a host that is not heard is no longer passed on to others.
 constexpr seconds gossip_time{20};
 
+[[nodiscard]] election::peer_state own_state(const settings &options) {
+    election::peer_state state;
+    state.id = options.self;
+    state.domain = options.domain;
+    state.process = options.process;
+    return state;
+}
+
 [[nodiscard]] std::int64_t to_us(time_point at) noexcept {
     return at.time_since_epoch().count();
 }
@@ -41,8 +53,7 @@
 } // namespace internal
 
 member::member(settings options, ports out)
-    : m_settings{std::move(options)}, m_ports{out},
-      m_election{{.id = m_settings.self, .domain = m_settings.domain, .process = m_settings.process}, out.clock.now()},
+    : m_settings{std::move(options)}, m_ports{out}, m_election{internal::own_state(m_settings), out.clock.now()},
       m_gateway{m_settings.self, out.callers, *this},
       m_scheduler{out.orders, *this, lease::token_source{hash64(m_settings.self.str())}} {
     for(const auto &seed: m_settings.seeds) {
@@ -104,16 +115,19 @@
     }
     const auto at = now();
     election::claim_scope scope{m_election.members(at), at - m_far_reached_at < internal::far_reach_time};
-    if(!m_targets_due && m_targets_revision == m_catalog.revision() && scope == m_scope) {
+    if(!m_targets_due && m_targets_revision == m_catalog.revision() && m_targets_next == m_catalog.next() && scope == m_scope) {
+        return;
+    }
+    if(!m_scope.majority() && scope.majority() && at - m_leading_since > internal::widen_time && at - m_heard_more_at < internal::widen_time) {
         return;
     }
     if(!(scope == m_scope)) {
-        log(log_level::info, "member", "The hosts that are heard have changed. hears={} majority={}", m_election.self().hears,
-            scope.majority());
+        log_event(log_level::info, "member", "scope_changed", {{"hears", m_election.self().hears}, {"majority", scope.majority()}});
     }
     m_scope = std::move(scope);
     m_targets_due = false;
     m_targets_revision = m_catalog.revision();
+    m_targets_next = m_catalog.next();
     std::vector<pool::scoped_target> targets;
     for(auto &entry: m_catalog.entries()) {
         if(m_scope.includes(entry)) {
@@ -121,7 +135,7 @@
             targets.push_back({std::move(entry), pause});
         }
     }
-    m_scheduler.set_targets(targets);
+    m_scheduler.set_targets(targets, m_catalog.known(), m_catalog.next());
 }
 
 void member::probe_far_targets(time_point now) {
@@ -239,11 +253,11 @@
     const bool gave_up = peer.leading && !beat.leading();
     peer.leading = beat.leading();
     if(beat.leading()) {
-        std::vector<target_id> idle;
+        std::set<target_id> idle;
         for(const auto &target: beat.idle_targets()) {
-            idle.emplace_back(target);
+            idle.emplace(target);
         }
-        m_scheduler.note_idle(from, std::move(idle));
+        m_scheduler.note_other(from, std::move(idle), peer.catalog_next);
     }
     if(gave_up && m_leading) {
         m_scheduler.reclaim(at);
@@ -260,6 +274,7 @@
     state.leading = beat.leading();
     state.hears = beat.hears();
     state.lag = duration{static_cast<std::int64_t>(beat.lag_us())};
+    state.follows = host_id{beat.follows()};
     state.leading_for = duration{static_cast<std::int64_t>(beat.leading_for_us())};
     m_election.heard(state, at);
     if(beat.leading() && m_leader && m_leader->host == from) {
@@ -399,17 +414,22 @@
 }
 
 void member::decide_leader(time_point now) {
+    const auto heard_before = m_election.self().hears;
     const auto chosen = m_election.decide(now);
+    if(m_election.self().hears > heard_before) {
+        m_heard_more_at = now;
+    }
     const bool lead = chosen && *chosen == m_settings.self;
     if(lead && !m_leading) {
         m_term = leader_term{static_cast<std::uint64_t>(m_ports.clock.unix_now().count())};
         m_leading = true;
+        m_leading_since = now;
         m_targets_due = true;
-        log(log_level::info, "member", "This host schedules the pool now. term={} hears={}", raw(m_term), m_election.self().hears);
+        log_event(log_level::info, "member", "lead_taken", {{"term", m_term}, {"hears", m_election.self().hears}});
         update_targets();
         m_next_beat = now;
     } else if(!lead && m_leading) {
-        log(log_level::info, "member", "This host no longer schedules the pool. term={}", raw(m_term));
+        log_event(log_level::info, "member", "lead_given_up", {{"term", m_term}, {"follows", chosen ? *chosen : host_id{}}});
         m_leading = false;
         m_scheduler.resign();
         m_next_beat = now;
@@ -424,12 +444,15 @@
         }
     }
     if(leader != m_leader) {
+        log_event(log_level::info, "member", "leader_changed",
+                  {{"leader", leader ? leader->host : host_id{}}, {"term", leader ? leader->term : leader_term{}}, {"jobs", m_gateway.size()}});
         m_leader = leader;
+        m_next_beat = now;
         m_gateway.set_leader(leader, now);
     }
 }
 
-void member::fill_heartbeat(wire::pool_heartbeat &beat) const {
+void member::fill_heartbeat(wire::pool_heartbeat &beat) {
     const auto &self = m_election.self();
     beat.set_draining(self.draining);
     beat.set_leading(m_leading);
@@ -457,7 +480,7 @@
         queue.set_queue(name.str());
         queue.set_waiting(length);
     }
-    for(const auto &target: m_scheduler.holder().out_of_reach()) {
+    for(const auto &target: m_scheduler.publish_idle(at)) {
         beat.add_idle_targets(target.str());
     }
 }
--- a/src/heathermoor/member/member.hpp
+++ b/src/heathermoor/member/member.hpp
@@ -161,7 +161,7 @@
     [[nodiscard]] time_point now() const { return m_ports.clock.now(); }
     void send(const host_id &to, wire::envelope message);
     void beat(time_point now);
-    void fill_heartbeat(wire::pool_heartbeat &beat) const;
+    void fill_heartbeat(wire::pool_heartbeat &beat);
     void drain_inbox();
     void settle();
     void handle(const wire::envelope &message);
@@ -187,6 +187,8 @@
     std::deque<wire::envelope> m_inbox;
     std::optional<gateway::leader_ref> m_leader;
     election::claim_scope m_scope{{}, false};
+    time_point m_heard_more_at{};
+    time_point m_leading_since{};
     time_point m_next_probe{};
     time_point m_far_reached_at{};
     std::map<queue_id, std::uint32_t> m_waiting;
@@ -194,6 +196,7 @@
     leader_term m_term{};
     bool m_targets_due{};
     std::uint64_t m_targets_revision{};
+    log_offset m_targets_next{};
     time_point m_next_beat{};
     time_point m_next_pull{};
     time_point m_store_answered{};
--- a/src/heathermoor/pool/scheduler.cpp
+++ b/src/heathermoor/pool/scheduler.cpp
@@ -1,10 +1,9 @@
 #include "heathermoor/pool/scheduler.hpp"
 
 #include "heathermoor/core/hash.hpp"
-#include "heathermoor/core/log.hpp"
+#include "heathermoor/core/event.hpp"
 #include <algorithm>
 #include <cmath>
-#include <iterator>
 #include <limits>
 #include <utility>
 
@@ -73,8 +72,9 @@
 
 } // namespace internal
 
-void scheduler::set_targets(const std::vector<scoped_target> &targets) {
-    m_holder.set_targets(targets);
+void scheduler::set_targets(const std::vector<scoped_target> &targets, std::set<target_id> known, log_offset catalog_next) {
+    m_holder.set_targets(targets, std::move(known));
+    m_catalog_next = catalog_next;
     m_place_due = true;
 }
 
@@ -128,6 +128,14 @@
     }
     const auto id = job.job.id;
     auto &stored = m_jobs.insert_or_assign(id, std::move(job)).first->second;
+    log_event(log_level::debug, "pool", "job_opened",
+              {{"job", id},
+               {"queue", stored.queue.name},
+               {"from", stored.hosts.front()},
+               {"tasks", stored.slots.size()},
+               {"age_ms", now - stored.sent_at},
+               {"clear_in_ms", stored.clear_at - now},
+               {"earlier", stored.earlier}});
     if(stored.clear_at > now) {
         m_holder.prove_all(now);
     }
@@ -135,17 +143,19 @@
     m_place_due = true;
 }
 
-void scheduler::note_idle(const host_id &host, std::vector<target_id> idle) {
-    m_idle_elsewhere[host] = {std::make_move_iterator(idle.begin()), std::make_move_iterator(idle.end())};
+void scheduler::note_other(const host_id &host, std::set<target_id> idle, log_offset catalog_next) {
+    m_others[host] = {std::move(idle), catalog_next};
 }
 
 bool scheduler::clear(const open_job &job, time_point now) const {
     if(now >= job.clear_at) {
         return true;
     }
-    static const std::set<target_id> none;
-    const auto idle = m_idle_elsewhere.find(job.earlier);
-    return m_holder.proved(job.opened_at, idle == m_idle_elsewhere.end() ? none : idle->second);
+    const auto other = m_others.find(job.earlier);
+    if(other == m_others.end() || other->second.catalog_next > m_catalog_next) {
+        return false;
+    }
+    return m_holder.proved(job.opened_at, other->second.idle);
 }
 
 void scheduler::adopt_orphans(open_job &job, time_point now) {
@@ -236,7 +246,36 @@
     return found == all.end() ? 0 : found->second;
 }
 
+void scheduler::log_answer(const open_job &job, const job::answer &answer, time_point now) const {
+    std::size_t done = 0;
+    std::uint32_t failures = 0;
+    std::uint64_t last_run = 0;
+    duration last_start{};
+    for(const auto &slot: job.slots) {
+        done += slot.state == slot_state::done ? 1 : 0;
+        failures += slot.failures;
+        last_run = std::max(last_run, slot.last_run);
+        last_start = std::max(last_start, slot.placed_at == time_point{} ? duration{} : slot.placed_at - job.sent_at);
+    }
+    log_event(log_level::info, "pool", "job_answered",
+              {{"job", job.job.id},
+               {"queue", job.queue.name},
+               {"priority", job.queue.priority},
+               {"outcome", job::name_of(answer.result)},
+               {"reason", code_name(answer.reason)},
+               {"age_ms", now - job.sent_at},
+               {"objective_ms", objective(job)},
+               {"left_ms", job.deadline - now},
+               {"last_start_ms", last_start},
+               {"tasks", job.slots.size()},
+               {"done", done},
+               {"failures", failures},
+               {"last_run", last_run},
+               {"retry_after_ms", duration{answer.retry_after}}});
+}
+
 void scheduler::finish(open_job &job, const job::answer &answer, time_point now) {
+    log_answer(job, answer, now);
     for(const auto &host: job.hosts) {
         m_answers.answer(host, job.job.id, answer);
     }
@@ -319,6 +358,15 @@
     if(slot == nullptr) {
         return;
     }
+    log_event(end.how == lease::run_end::done ? log_level::debug : log_level::info, "pool", "run_ended",
+              {{"job", end.task.job},
+               {"step", end.task.step},
+               {"index", end.task.index},
+               {"run", end.run},
+               {"target", target},
+               {"how", lease::name_of(end.how)},
+               {"elapsed_ms", end.elapsed},
+               {"closing", job.closing}});
     const bool current = slot->state == slot_state::placed && slot->target == target && slot->last_run == raw(end.run);
     if(!current) {
         if(end.how == lease::run_end::done && slot->state == slot_state::waiting && !job.closing) {
@@ -363,9 +411,13 @@
     auto *slot = found == m_jobs.end() ? nullptr : find_slot(found->second, run.task);
     if(slot == nullptr) {
         m_orphans[run.task] = {target, run.run, now};
+        log_event(log_level::debug, "pool", "orphan_found",
+                  {{"job", run.task.job}, {"step", run.task.step}, {"index", run.task.index}, {"run", run.run}, {"target", target}});
         return;
     }
     auto &job = found->second;
+    log_event(log_level::debug, "pool", "run_found",
+              {{"job", run.task.job}, {"step", run.task.step}, {"index", run.task.index}, {"run", run.run}, {"target", target}});
     m_holder.adopt(target, run.task, job.job.steps[run.task.step].need);
     const bool wanted = !job.closing && (slot->state == slot_state::waiting || slot->state == slot_state::out_of_reach);
     if(!wanted) {
@@ -442,7 +494,7 @@
             }
         }
         if(!affected.empty()) {
-            log(log_level::info, "pool", "Entry host is silent; its jobs are stopped. host={} jobs={}", host.str(), affected.size());
+            log_event(log_level::info, "pool", "entry_host_silent", {{"host", host}, {"jobs", affected.size()}});
         }
         for(const auto &id: affected) {
             cancel(host, id, now);
@@ -529,7 +581,7 @@
 }
 
 bool scheduler::usable(const held_target &target, time_point now) {
-    if(target.state != hold_state::held || target.silent || target.removed || target.entry.draining || !target.following) {
+    if(target.state != hold_state::held || target.silent || target.removed || target.entry.draining || m_holder.published_idle(target.entry.id)) {
         return false;
     }
     constexpr std::uint32_t unlimited = 1'000;
@@ -622,6 +674,14 @@
         ++slot.last_run;
         job.ever_started = true;
         ++m_counts.starts;
+        log_event(log_level::debug, "pool", "run_ordered",
+                  {{"job", job.job.id},
+                   {"step", slot.step},
+                   {"index", slot.index},
+                   {"run", slot.last_run},
+                   {"target", slot.target},
+                   {"speed", chosen->speed},
+                   {"waited_ms", now - job.sent_at}});
         m_holder.start(slot.target, {job.job.id, slot.step, slot.index}, run_number{slot.last_run}, need, job.job.payload, now);
     }
 }
--- a/src/heathermoor/pool/scheduler.hpp
+++ b/src/heathermoor/pool/scheduler.hpp
@@ -57,7 +57,9 @@
 
     /// @brief Sets the targets to use.
     /// @param targets Targets in scope.
-    void set_targets(const std::vector<scoped_target> &targets);
+    /// @param known Every target that any host may be using, in scope or not.
+    /// @param catalog_next How far the list of targets was read for this.
+    void set_targets(const std::vector<scoped_target> &targets, std::set<target_id> known, log_offset catalog_next);
 
     /// @brief Gives up all targets and jobs; entry hosts hand theirs to the next scheduler.
     void resign();
@@ -93,10 +95,16 @@
     /// @return Number of jobs of each queue that has any.
     [[nodiscard]] std::map<queue_id, std::uint32_t> waiting() const;
 
-    /// @brief Names the targets that certainly run nothing for another scheduler.
+    /// @brief Takes over what another scheduler says of its targets.
     /// @param host Host of that scheduler.
-    /// @param idle Targets.
-    void note_idle(const host_id &host, std::vector<target_id> idle);
+    /// @param idle Targets that certainly run nothing for it.
+    /// @param catalog_next How far it has read the list of targets.
+    void note_other(const host_id &host, std::set<target_id> idle, log_offset catalog_next);
+
+    /// @brief Names the targets on which nothing ordered here can be at work.
+    /// @param now Current time.
+    /// @return Targets.
+    [[nodiscard]] std::vector<target_id> publish_idle(time_point now) { return m_holder.publish_idle(now); }
 
     /// @brief Claims targets again that another holder has given up.
     /// @param now Current time.
@@ -196,6 +204,12 @@
         time_point at;
     };
 
+    /// @brief What another scheduler says of its targets.
+    struct other_scheduler {
+        std::set<target_id> idle;
+        log_offset catalog_next{};
+    };
+
     struct target_state {
         placement::target_health health;
     };
@@ -216,6 +230,7 @@
 
     void open(submission work, time_point now);
     void adopt_orphans(open_job &job, time_point now);
+    void log_answer(const open_job &job, const job::answer &answer, time_point now) const;
     void finish(open_job &job, const job::answer &answer, time_point now);
     void close(open_job &job, time_point now);
     [[nodiscard]] bool clear(const open_job &job, time_point now) const;
@@ -252,7 +267,8 @@
     std::unordered_map<job::task_ref, orphan_run> m_orphans;
     std::unordered_map<job::task_ref, orphan_end> m_orphan_ends;
     std::unordered_map<host_id, time_point> m_vouched;
-    std::map<host_id, std::set<target_id>> m_idle_elsewhere;
+    std::map<host_id, other_scheduler> m_others;
+    log_offset m_catalog_next{};
     scheduler_counts m_counts;
     bool m_place_due{};
 };
--- a/src/heathermoor/pool/target_holder.cpp
+++ b/src/heathermoor/pool/target_holder.cpp
@@ -1,6 +1,6 @@
 #include "heathermoor/pool/target_holder.hpp"
 
-#include "heathermoor/core/log.hpp"
+#include "heathermoor/core/event.hpp"
 #include <algorithm>
 #include <iterator>
 
@@ -29,12 +29,16 @@
 /// Time between claims that found no answer.
 constexpr milliseconds claim_retry{250};
 
+/// Time out of reach without a run after which other hosts are told so.
+constexpr milliseconds idle_time{1'000};
+
 /// Time between stops of one run.
 constexpr milliseconds stop_retry{200};
 
 } // namespace internal
 
-void target_holder::set_targets(const std::vector<scoped_target> &targets) {
+void target_holder::set_targets(const std::vector<scoped_target> &targets, std::set<target_id> known) {
+    m_known = std::move(known);
     for(auto &[id, target]: m_targets) {
         target.removed = true;
     }
@@ -60,6 +64,8 @@
         m_orders.release(id);
     }
     m_targets.clear();
+    m_idle_since.clear();
+    m_published_idle.clear();
 }
 
 order_address target_holder::address_of(const held_target &target) const {
@@ -180,12 +186,15 @@
         target.state = hold_state::held;
         target.held_since = now;
         m_tokens.accepted();
+        log_event(log_level::debug, "pool", "target_claimed",
+                  {{"target", target.entry.id}, {"token", target.token}, {"running", answer.report.running.size()}});
     }
     const auto changes = target.ledger.reported(answer.report, answer.asked, now);
     if(answer.until && !changes.restarted) {
         target.ledger.lease_confirmed(*answer.until);
     }
     if(changes.restarted) {
+        log_event(log_level::info, "pool", "target_restarted", {{"target", target.entry.id}, {"boot", answer.report.boot}});
         // A start that was delayed in the network may still reach the new boot: raise its fence.
         target.state = hold_state::idle;
         target.next_claim = now;
@@ -211,7 +220,8 @@
     for(const auto &[task, entry]: target.ledger.runs()) {
         runs.push_back(task);
     }
-    log(log_level::info, "pool", "Another host holds the target now. target={} runs={}", target.entry.id.str(), runs.size());
+    log_event(log_level::info, "pool", "target_taken",
+              {{"target", target.entry.id}, {"runs", runs.size()}, {"pause_ms", target.fenced_pause}});
     target.state = hold_state::fenced;
     target.next_claim = now + target.fenced_pause;
     target.following = false;
@@ -327,20 +337,35 @@
     }
 }
 
-std::vector<target_id> target_holder::out_of_reach() const {
-    std::vector<target_id> result;
-    for(const auto &[id, target]: m_targets) {
-        if(!target.ledger.busy() && (target.state != hold_state::held || target.silent)) {
-            result.push_back(id);
+bool target_holder::certainly_idle(const target_id &id) const {
+    const auto found = m_targets.find(id);
+    if(found == m_targets.end()) {
+        return true;
+    }
+    const auto &target = found->second;
+    return !target.ledger.busy() && (target.state != hold_state::held || target.silent);
+}
+
+std::vector<target_id> target_holder::publish_idle(time_point now) {
+    std::erase_if(m_idle_since, [this](const auto &item) { return !m_known.contains(item.first) || !certainly_idle(item.first); });
+    m_published_idle.clear();
+    for(const auto &id: m_known) {
+        if(!certainly_idle(id)) {
+            continue;
+        }
+        const auto since = m_idle_since.try_emplace(id, now).first->second;
+        if(now - since >= internal::idle_time) {
+            m_published_idle.insert(id);
         }
     }
-    return result;
+    return {m_published_idle.begin(), m_published_idle.end()};
 }
 
 bool target_holder::proved(time_point since, const std::set<target_id> &idle) const {
-    return !m_targets.empty() && std::all_of(m_targets.begin(), m_targets.end(), [&](const auto &item) {
-        const auto &target = item.second;
-        return (target.state == hold_state::held && target.proved_at >= since) || idle.contains(item.first);
+    return !m_known.empty() && std::all_of(m_known.begin(), m_known.end(), [&](const target_id &id) {
+        const auto found = m_targets.find(id);
+        const bool answered = found != m_targets.end() && found->second.state == hold_state::held && found->second.proved_at >= since;
+        return answered || idle.contains(id);
     });
 }
 
--- a/src/heathermoor/pool/target_holder.hpp
+++ b/src/heathermoor/pool/target_holder.hpp
@@ -86,7 +86,8 @@
 
     /// @brief Sets the targets that this host is to hold.
     /// @param targets Targets in scope.
-    void set_targets(const std::vector<scoped_target> &targets);
+    /// @param known Every target that any host may be using, in scope or not.
+    void set_targets(const std::vector<scoped_target> &targets, std::set<target_id> known);
 
     /// @brief Gives up all targets without a word to them.
     void release_all();
@@ -133,6 +134,11 @@
     /// @param unix_now Wall clock.
     void tick(time_point now, milliseconds unix_now);
 
+    /// @brief Whether other hosts were told that nothing runs on a target.
+    /// @param target Target.
+    /// @return True if nothing may be started there for now.
+    [[nodiscard]] bool published_idle(const target_id &target) const { return m_published_idle.contains(target); }
+
     /// @brief All targets in scope.
     /// @return Targets by id.
     [[nodiscard]] const std::map<target_id, held_target> &targets() const noexcept { return m_targets; }
@@ -145,9 +151,12 @@
     /// @param now Current time.
     void reclaim(time_point now);
 
-    /// @brief Targets on which nothing that was ordered here can be at work.
-    /// @return Targets that are silent or taken, without a run.
-    [[nodiscard]] std::vector<target_id> out_of_reach() const;
+    /// @brief Names the targets on which nothing ordered here can be at work, to be told to other hosts.
+    ///
+    /// Nothing is started on them until a later call no longer names them.
+    /// @param now Current time.
+    /// @return Targets that have been silent or taken for a while, without a run.
+    [[nodiscard]] std::vector<target_id> publish_idle(time_point now);
 
     /// @brief Whether the account of every target is known as it was at some time or later.
     /// @param since Time.
@@ -165,6 +174,7 @@
     void renew(held_target &target, time_point now);
     void resolve_doubts(held_target &target, time_point now);
     void fenced(held_target &target, time_point now);
+    [[nodiscard]] bool certainly_idle(const target_id &id) const;
     void publish(const target_id &id, const lease::ledger_changes &changes, time_point now);
     [[nodiscard]] order_address address_of(const held_target &target) const;
     [[nodiscard]] held_target *held(const target_id &id, fencing_token token);
@@ -173,6 +183,9 @@
     holder_listener &m_listener;
     lease::token_source m_tokens;
     std::map<target_id, held_target> m_targets;
+    std::set<target_id> m_known;
+    std::map<target_id, time_point> m_idle_since;
+    std::set<target_id> m_published_idle;
     std::uint64_t m_claims{};
 };
 
