--- a/src/heathermoor/adapter/http_server.cpp
+++ b/src/heathermoor/adapter/http_server.cpp
@@ -70,8 +70,10 @@
         m_close = m_close || m_server.m_stopping;
         m_output = internal::format_response(response, m_close);
         m_writing = true;
+        ++m_server.m_responses;
         asio::async_write(m_socket, asio::buffer(m_output), [self = shared_from_this()](std::error_code error, std::size_t) {
             self->m_writing = false;
+            --self->m_server.m_responses;
             self->sent(error);
         });
     }
@@ -91,6 +93,12 @@
         }
     }
 
+    void close_if_idle() {
+        if(m_request == 0 && !m_writing && !m_reader.started() && m_pending.empty()) {
+            shut();
+        }
+    }
+
     void shut() {
         std::error_code ignored;
         m_socket.shutdown(asio::ip::tcp::socket::shutdown_both, ignored);
@@ -243,14 +251,26 @@
     }
 }
 
-void http_server::expire(time_point now) {
-    m_now = now;
+void http_server::close_idle() {
+    std::error_code ignored;
+    m_acceptor.close(ignored);
+    for(const auto &open: all_connections()) {
+        open->close_if_idle();
+    }
+}
+
+std::vector<std::shared_ptr<http_server::connection>> http_server::all_connections() const {
     std::vector<std::shared_ptr<connection>> all;
     all.reserve(m_connections.size());
     for(const auto &[key, open]: m_connections) {
         all.push_back(open);
     }
-    for(const auto &open: all) {
+    return all;
+}
+
+void http_server::expire(time_point now) {
+    m_now = now;
+    for(const auto &open: all_connections()) {
         open->expire(now);
     }
 }
--- a/src/heathermoor/adapter/http_server.hpp
+++ b/src/heathermoor/adapter/http_server.hpp
@@ -74,13 +74,20 @@
     /// @param now Current time.
     void expire(time_point now);
 
-    /// @brief Ends each connection with its next response, and idle ones on expiry.
+    /// @brief Ends each connection with its next response.
     void begin_stop() noexcept { m_stopping = true; }
 
+    /// @brief Takes no more connections and closes those without a request.
+    void close_idle();
+
     /// @brief Requests that are not answered yet.
     /// @return Number of requests.
     [[nodiscard]] std::size_t open_requests() const noexcept { return m_requests.size(); }
 
+    /// @brief Whether a request is open or a response is being sent.
+    /// @return True while closing the server would cut one off.
+    [[nodiscard]] bool busy() const noexcept { return !m_requests.empty() || m_responses > 0; }
+
     /// @brief Connections that are open.
     /// @return Number of connections.
     [[nodiscard]] std::size_t connections() const noexcept { return m_connections.size(); }
@@ -89,6 +96,7 @@
     class connection;
 
     void accept();
+    [[nodiscard]] std::vector<std::shared_ptr<connection>> all_connections() const;
     void remove(const std::shared_ptr<connection> &closed);
 
     asio::ip::tcp::acceptor m_acceptor;
@@ -97,6 +105,7 @@
     http_server_limits m_limits;
     std::unordered_map<connection *, std::shared_ptr<connection>> m_connections;
     std::unordered_map<std::uint64_t, std::weak_ptr<connection>> m_requests;
+    std::size_t m_responses{};
     std::uint64_t m_next_request{1};
     time_point m_now{};
     bool m_stopping{};
