Give silent targets no lease, finish started jobs first, answer jobs early that cannot be proved idle

Cause: each call to a silent target asked for a new lease, so its runs never counted as lapsed and their jobs waited to their deadline; jobs started in part waited behind others.

--- a/src/heathermoor/pool/scheduler.cpp
+++ b/src/heathermoor/pool/scheduler.cpp
@@ -5,6 +5,7 @@
 #include <algorithm>
 #include <cmath>
 #include <limits>
+#include <tuple>
 #include <utility>
 
 namespace heathermoor::pool {
@@ -60,6 +61,9 @@
 /// Progress is expected to change within this time.
 constexpr milliseconds stall_time{700};
 
+/// Time in which all targets can be asked what they run for an earlier scheduler.
+constexpr milliseconds proof_time{250};
+
 /// Multiple of the expected run time from which a task may count as stalled.
 constexpr double stall_run_factor = 3.0;
 
@@ -147,6 +151,13 @@
     m_others[host] = {std::move(idle), catalog_next};
 }
 
+bool scheduler::never_clear(const open_job &job, time_point now) const {
+    if(now - job.opened_at < internal::proof_time || job.clear_at + expected_run(job) < job.deadline || clear(job, now)) {
+        return false;
+    }
+    return std::none_of(job.slots.begin(), job.slots.end(), [](const task_slot &slot) { return slot.state == slot_state::placed; });
+}
+
 bool scheduler::clear(const open_job &job, time_point now) const {
     if(now >= job.clear_at) {
         return true;
@@ -511,7 +522,7 @@
         const bool lost = job.out_of_reach_since && now - *job.out_of_reach_since > internal::out_of_reach_time &&
                           std::any_of(job.slots.begin(), job.slots.end(),
                                       [](const task_slot &slot) { return slot.state == slot_state::out_of_reach; });
-        if(lost || now >= job.deadline) {
+        if(lost || now >= job.deadline || never_clear(job, now)) {
             overdue.push_back(id);
         }
     }
@@ -696,7 +707,8 @@
         }
     }
     std::sort(result.begin(), result.end(), [](const open_job *left, const open_job *right) {
-        return std::pair{left->queue.priority, left->sent_at} < std::pair{right->queue.priority, right->sent_at};
+        return std::tuple{!left->ever_started, left->queue.priority, left->sent_at} <
+               std::tuple{!right->ever_started, right->queue.priority, right->sent_at};
     });
     return result;
 }
--- a/src/heathermoor/pool/scheduler.hpp
+++ b/src/heathermoor/pool/scheduler.hpp
@@ -233,6 +233,7 @@
     void log_answer(const open_job &job, const job::answer &answer, time_point now) const;
     void finish(open_job &job, const job::answer &answer, time_point now);
     void close(open_job &job, time_point now);
+    [[nodiscard]] bool never_clear(const open_job &job, time_point now) const;
     [[nodiscard]] bool clear(const open_job &job, time_point now) const;
     void erase_if_closed(const job_id &id, time_point now);
     void end_overdue(time_point now);
--- a/src/heathermoor/pool/target_holder.cpp
+++ b/src/heathermoor/pool/target_holder.cpp
@@ -18,13 +18,13 @@
 
 /// Wait of the call that follows a target with runs; shorter than what is left
 /// of a lease after one lost call.
-constexpr milliseconds busy_wait{300};
+constexpr milliseconds busy_wait{250};
 
 /// Wait of the call that follows a target without runs; the longest the platform allows.
 constexpr milliseconds idle_wait{2'000};
 
 /// Time beyond its wait after which an unanswered call makes a target suspect.
-constexpr milliseconds answer_slack{250};
+constexpr milliseconds answer_slack{150};
 
 /// Time between claims that found no answer.
 constexpr milliseconds claim_retry{250};
@@ -245,12 +245,19 @@
     m_orders.report({address_of(target), report_purpose::claim, until, target.ledger.last_end(), milliseconds{0}});
 }
 
+void target_holder::ask_lease(report_order &order, held_target &target, time_point now) {
+    if(target.silent || !target.ledger.busy()) {
+        return;
+    }
+    order.until = target.ledger.lease_until(internal::lease_length, now);
+    target.ledger.order_lease(*order.until);
+}
+
 void target_holder::follow(held_target &target, time_point now) {
     report_order order{address_of(target), report_purpose::follow, std::nullopt, target.ledger.last_end(), internal::idle_wait};
     if(target.ledger.busy()) {
-        order.until = target.ledger.lease_until(internal::lease_length, now);
         order.wait = internal::busy_wait;
-        target.ledger.order_lease(*order.until);
+        ask_lease(order, target, now);
     }
     target.following = true;
     target.answer_due = now + order.wait + internal::answer_slack;
@@ -262,10 +269,7 @@
         return;
     }
     report_order order{address_of(target), report_purpose::renew, std::nullopt, target.ledger.last_end(), milliseconds{0}};
-    if(target.ledger.busy()) {
-        order.until = target.ledger.lease_until(internal::lease_length, now);
-        target.ledger.order_lease(*order.until);
-    }
+    ask_lease(order, target, now);
     target.renewing = true;
     m_orders.report(order);
 }
--- a/src/heathermoor/pool/target_holder.hpp
+++ b/src/heathermoor/pool/target_holder.hpp
@@ -170,6 +170,8 @@
 
   private:
     void claim(held_target &target, time_point now, milliseconds unix_now);
+    /// Asks for a lease, unless the target is silent: its runs then have to lapse so that they can go elsewhere.
+    static void ask_lease(report_order &order, held_target &target, time_point now);
     void follow(held_target &target, time_point now);
     void renew(held_target &target, time_point now);
     void resolve_doubts(held_target &target, time_point now);
