Never renew the lease of a run that belongs to no job known here

Tasks on a target that another host took come back when their lease has passed, in place of an answer after a fixed time.

--- a/src/heathermoor/gateway/gateway.cpp
+++ b/src/heathermoor/gateway/gateway.cpp
@@ -10,7 +10,7 @@
 /// Time after the last heartbeat to a scheduler in which runs that it ordered
 /// may still be at work: its patience with a silent entry host, the lease of a
 /// target it cannot reach, the clock's slowness and the end of the run.
-constexpr milliseconds horizon{450 + 714 + 60};
+constexpr milliseconds horizon{450 + 765 + 60};
 
 /// Time after which a job without an answer is asked for, and between such questions.
 constexpr milliseconds query_interval{300};
--- a/src/heathermoor/lease/target_ledger.cpp
+++ b/src/heathermoor/lease/target_ledger.cpp
@@ -132,8 +132,9 @@
 
 void target_ledger::set_need(const job::task_ref &task, const resources &need) noexcept {
     const auto found = m_runs.find(task);
-    if(found != m_runs.end() && !found->second.own && found->second.need == resources{}) {
+    if(found != m_runs.end() && !found->second.known) {
         found->second.need = need;
+        found->second.known = true;
         --m_unknown_needs;
     }
 }
@@ -155,7 +156,7 @@
         drop_absent(report, asked, now, changes);
     }
     m_unknown_needs = static_cast<std::uint32_t>(
-        std::count_if(m_runs.begin(), m_runs.end(), [](const auto &run) { return !run.second.own && run.second.need == resources{}; }));
+        std::count_if(m_runs.begin(), m_runs.end(), [](const auto &run) { return !run.second.known; }));
     return changes;
 }
 
@@ -219,6 +220,7 @@
             entry.progress_at = now;
             entry.percent = listed.percent;
             entry.own = false;
+            entry.known = false;
             m_runs.emplace(listed.task, entry);
             order_lease(report.clock + internal::longest_lease);
             changes.found.push_back({listed.task, listed.run});
@@ -257,6 +259,11 @@
     }
 }
 
+time_point target_ledger::lapse_time(time_point now) const noexcept {
+    const auto left = static_cast<std::int64_t>(m_latest_until) + internal::lapse_margin.count() - static_cast<std::int64_t>(m_clock.earliest(now));
+    return now + milliseconds{std::max<std::int64_t>(0, left) * 100 / (100 - clock_slowness_percent) + 1};
+}
+
 std::vector<ended_run> target_ledger::lapsed(time_point now) {
     std::vector<ended_run> ended;
     if(m_runs.empty() || !m_clock.known()) {
--- a/src/heathermoor/lease/target_ledger.hpp
+++ b/src/heathermoor/lease/target_ledger.hpp
@@ -101,6 +101,8 @@
     time_point progress_at;
     /// Whether this scheduler ordered the run; false for one found in a report.
     bool own{true};
+    /// Whether the run belongs to a job that is known here.
+    bool known{true};
 };
 
 /// @brief End of a run, found by the ledger.
@@ -153,6 +155,17 @@
     /// @return True if there is an entry.
     [[nodiscard]] bool busy() const noexcept { return !m_runs.empty(); }
 
+    /// @brief Whether a run is at work that belongs to no job known here.
+    ///
+    /// The lease of such a run must not be renewed: whoever ordered it counts on its end.
+    /// @return True while there is one.
+    [[nodiscard]] bool has_foreign_run() const noexcept { return m_unknown_needs > 0; }
+
+    /// @brief Time by which everything at work now has ended, if nobody renews its lease.
+    /// @param now Current time.
+    /// @return Time on this host's clock.
+    [[nodiscard]] time_point lapse_time(time_point now) const noexcept;
+
     /// @brief All runs that may be at work.
     /// @return Entries by task.
     [[nodiscard]] const std::unordered_map<job::task_ref, run_entry> &runs() const noexcept { return m_runs; }
--- a/src/heathermoor/pool/scheduler.cpp
+++ b/src/heathermoor/pool/scheduler.cpp
@@ -20,10 +20,7 @@
 
 /// Time in which an entry host hands its jobs to a new scheduler; runs that
 /// belong to no known job are stopped after it.
-constexpr milliseconds orphan_time{700};
-
-/// Time after which a job with a task out of reach is answered as unknown.
-constexpr milliseconds out_of_reach_time{700};
+constexpr milliseconds orphan_time{450};
 
 /// Step by which a run's number rises after a target rejected it as too low.
 constexpr std::uint64_t run_number_step = 16;
@@ -329,7 +326,9 @@
         return;
     }
     const auto &slots = found->second.slots;
-    if(std::any_of(slots.begin(), slots.end(), [](const task_slot &slot) { return slot.state == slot_state::placed; })) {
+    if(std::any_of(slots.begin(), slots.end(), [](const task_slot &slot) {
+           return slot.state == slot_state::placed || slot.state == slot_state::out_of_reach;
+       })) {
         return;
     }
     auto next = std::move(found->second.next);
@@ -442,7 +441,7 @@
     job.ever_started = true;
 }
 
-void scheduler::target_taken(const target_id &target, const std::vector<job::task_ref> &runs, time_point now) {
+void scheduler::target_taken(const target_id &target, const std::vector<job::task_ref> &runs, time_point lapse, time_point now) {
     for(const auto &task: runs) {
         m_orphans.erase(task);
         const auto found = m_jobs.find(task.job);
@@ -452,7 +451,7 @@
         auto *slot = find_slot(found->second, task);
         if(slot != nullptr && slot->state == slot_state::placed && slot->target == target) {
             slot->state = slot_state::out_of_reach;
-            found->second.out_of_reach_since = now;
+            slot->lapse_at = lapse;
         }
         erase_if_closed(task.job, now);
     }
@@ -477,6 +476,7 @@
 void scheduler::tick(time_point now, milliseconds unix_now) {
     m_holder.tick(now, unix_now);
     drop_lost_hosts(now);
+    return_lapsed(now);
     end_overdue(now);
     stop_orphans(now);
     stop_stalled(now);
@@ -519,10 +519,7 @@
         if(job.closing) {
             continue;
         }
-        const bool lost = job.out_of_reach_since && now - *job.out_of_reach_since > internal::out_of_reach_time &&
-                          std::any_of(job.slots.begin(), job.slots.end(),
-                                      [](const task_slot &slot) { return slot.state == slot_state::out_of_reach; });
-        if(lost || now >= job.deadline || never_clear(job, now)) {
+        if(now >= job.deadline || never_clear(job, now)) {
             overdue.push_back(id);
         }
     }
@@ -537,6 +534,21 @@
     }
 }
 
+void scheduler::return_lapsed(time_point now) {
+    std::vector<job_id> closed;
+    for(auto &[id, job]: m_jobs) {
+        for(auto &slot: job.slots) {
+            if(slot.state == slot_state::out_of_reach && now >= slot.lapse_at) {
+                slot.state = slot_state::waiting;
+                closed.push_back(id);
+            }
+        }
+    }
+    for(const auto &id: closed) {
+        erase_if_closed(id, now);
+    }
+}
+
 void scheduler::stop_orphans(time_point now) {
     std::vector<std::pair<target_id, job::task_ref>> due;
     for(auto &[task, orphan]: m_orphans) {
--- a/src/heathermoor/pool/scheduler.hpp
+++ b/src/heathermoor/pool/scheduler.hpp
@@ -148,7 +148,7 @@
 
     void run_ended(const target_id &target, const lease::ended_run &end, time_point now) override;
     void run_found(const target_id &target, const lease::found_run &run, time_point now) override;
-    void target_taken(const target_id &target, const std::vector<job::task_ref> &runs, time_point now) override;
+    void target_taken(const target_id &target, const std::vector<job::task_ref> &runs, time_point lapse, time_point now) override;
 
   private:
     enum class slot_state : std::uint8_t {
@@ -167,6 +167,8 @@
         std::uint64_t last_run{};
         std::uint32_t failures{};
         time_point placed_at;
+        /// When a task out of reach has ended.
+        time_point lapse_at;
     };
 
     struct open_job {
@@ -182,8 +184,6 @@
         bool ever_started{};
         /// Answered; waits until nothing of it is at work.
         bool closing{};
-        /// Some task is out of reach since then.
-        std::optional<time_point> out_of_reach_since;
         /// Submission that came while the job was closing.
         std::optional<submission> next;
     };
@@ -238,6 +238,7 @@
     void erase_if_closed(const job_id &id, time_point now);
     void end_overdue(time_point now);
     void drop_lost_hosts(time_point now);
+    void return_lapsed(time_point now);
     void stop_orphans(time_point now);
     void stop_stalled(time_point now);
     [[nodiscard]] task_slot *find_slot(open_job &job, const job::task_ref &task);
--- a/src/heathermoor/pool/target_holder.cpp
+++ b/src/heathermoor/pool/target_holder.cpp
@@ -11,7 +11,7 @@
 /// Lease asked for with each order. Together with the time after which an entry
 /// host counts as lost, the clock's slowness and a stop it stays under the
 /// callers' resubmission time of 1,300 ms.
-constexpr milliseconds lease_length{700};
+constexpr milliseconds lease_length{750};
 
 /// Lease left below which a renewal is sent; half of the length and a round trip.
 constexpr milliseconds renew_below{400};
@@ -226,27 +226,23 @@
     target.next_claim = now + target.fenced_pause;
     target.following = false;
     target.renewing = false;
+    const auto lapse = target.ledger.lapse_time(now);
     target.ledger = lease::target_ledger{target.entry.capacity};
     m_orders.release(target.entry.id);
-    m_listener.target_taken(target.entry.id, runs, now);
+    m_listener.target_taken(target.entry.id, runs, lapse, now);
 }
 
-void target_holder::claim(held_target &target, time_point now, milliseconds unix_now) {
+void target_holder::claim(held_target &target, milliseconds unix_now) {
     target.token = m_tokens.next(unix_now);
     target.state = hold_state::claiming;
     target.following = false;
     target.renewing = false;
     ++m_claims;
-    std::optional<lease::target_time> until;
-    if(target.ledger.busy()) {
-        until = target.ledger.lease_until(internal::lease_length, now);
-        target.ledger.order_lease(*until);
-    }
-    m_orders.report({address_of(target), report_purpose::claim, until, target.ledger.last_end(), milliseconds{0}});
+    m_orders.report({address_of(target), report_purpose::claim, std::nullopt, target.ledger.last_end(), milliseconds{0}});
 }
 
 void target_holder::ask_lease(report_order &order, held_target &target, time_point now) {
-    if(target.silent || !target.ledger.busy()) {
+    if(target.silent || !target.ledger.busy() || target.ledger.has_foreign_run()) {
         return;
     }
     order.until = target.ledger.lease_until(internal::lease_length, now);
@@ -304,7 +300,7 @@
             m_listener.run_ended(id, end, now);
         }
         if((target.state == hold_state::idle || target.state == hold_state::fenced) && now >= target.next_claim && !target.removed) {
-            claim(target, now, unix_now);
+            claim(target, unix_now);
         } else if(target.state == hold_state::held) {
             if(!target.following) {
                 follow(target, now);
--- a/src/heathermoor/pool/target_holder.hpp
+++ b/src/heathermoor/pool/target_holder.hpp
@@ -30,8 +30,9 @@
     /// @brief Another holder has taken a target; what runs there is out of reach.
     /// @param target Target.
     /// @param runs Tasks that may be at work there.
+    /// @param lapse Time by which they have ended: the new holder does not renew their lease.
     /// @param now Current time.
-    virtual void target_taken(const target_id &target, const std::vector<job::task_ref> &runs, time_point now) = 0;
+    virtual void target_taken(const target_id &target, const std::vector<job::task_ref> &runs, time_point lapse, time_point now) = 0;
 };
 
 /// @brief Target that this host is to hold.
@@ -169,7 +170,7 @@
     [[nodiscard]] std::uint64_t claims() const noexcept { return m_claims; }
 
   private:
-    void claim(held_target &target, time_point now, milliseconds unix_now);
+    void claim(held_target &target, milliseconds unix_now);
     /// Asks for a lease, unless the target is silent: its runs then have to lapse so that they can go elsewhere.
     static void ask_lease(report_order &order, held_target &target, time_point now);
     void follow(held_target &target, time_point now);
