Predict run times from declarations, move runs that would miss their deadline to faster targets

Cause: 62 of 65 long jobs that missed their limit ran on slow targets, though a declared run time and the reported progress tell long jobs early.

Change: the prediction regresses the run time on the declaration for each queue; a run whose pace misses the deadline is stopped and started once more on a target that is fast enough, if it can still end in time; one that misses it by a third anywhere ends its job at once.

--- /dev/null
+++ b/src/heathermoor/pool/run_estimate.cpp
@@ -0,0 +1,65 @@
+#include "heathermoor/pool/run_estimate.hpp"
+
+#include <algorithm>
+#include <cmath>
+
+namespace heathermoor::pool {
+
+namespace internal {
+
+/// Prediction before anything is known.
+constexpr milliseconds unknown_run{200};
+
+/// Samples from which the learned values count alone.
+constexpr double trusted_samples = 3.0;
+
+/// Samples after which old ones fade.
+constexpr double window_samples = 300.0;
+
+/// Slope before the declarations' worth is learned.
+constexpr double first_slope = 0.5;
+
+/// Weight of that first slope, as a variance of declarations over this many samples.
+constexpr double slope_prior = 4.0;
+
+/// Shortest run time that is told apart.
+constexpr double least_ms = 0.5;
+
+[[nodiscard]] double log_ms(double ms) noexcept {
+    return std::log(std::max(ms, least_ms));
+}
+
+} // namespace internal
+
+duration run_estimate::predict(const queue_id &queue, milliseconds declared) const {
+    const bool has_declared = declared > milliseconds{0};
+    const auto found = m_queues.find(queue);
+    if(found == m_queues.end() || found->second.samples < internal::trusted_samples) {
+        return has_declared ? declared : internal::unknown_run;
+    }
+    const auto &known = found->second;
+    if(!has_declared) {
+        return from_ms(std::exp(known.mean_observed));
+    }
+    const auto weight = std::min(known.samples, internal::window_samples);
+    const auto slope = std::clamp((known.covariance * weight + internal::slope_prior * internal::first_slope) /
+                                      (known.variance_declared * weight + internal::slope_prior),
+                                  0.0, 1.0);
+    const auto offset = internal::log_ms(static_cast<double>(declared.count())) - known.mean_declared;
+    return from_ms(std::exp(known.mean_observed + slope * offset));
+}
+
+void run_estimate::observe(const queue_id &queue, milliseconds declared, duration observed, double speed) {
+    auto &known = m_queues[queue];
+    known.samples += 1;
+    const auto gain = 1.0 / std::min(known.samples, internal::window_samples);
+    const auto y = internal::log_ms(to_ms(observed) * speed);
+    const auto x = declared > milliseconds{0} ? internal::log_ms(static_cast<double>(declared.count())) : known.mean_declared;
+    const auto x_before = x - known.mean_declared;
+    known.mean_declared += gain * x_before;
+    known.mean_observed += gain * (y - known.mean_observed);
+    known.variance_declared += gain * (x_before * (x - known.mean_declared) - known.variance_declared);
+    known.covariance += gain * (x_before * (y - known.mean_observed) - known.covariance);
+}
+
+} // namespace heathermoor::pool
--- /dev/null
+++ b/src/heathermoor/pool/run_estimate.hpp
@@ -0,0 +1,41 @@
+#pragma once
+
+#include "heathermoor/core/id.hpp"
+#include "heathermoor/core/time.hpp"
+#include <unordered_map>
+
+namespace heathermoor::pool {
+
+/// @brief Predicts run times from what a queue's tasks took and from what callers declare.
+///
+/// A declared run time is rough, yet it tells long jobs of a queue from short
+/// ones. The prediction is the linear regression of the logarithm of the run
+/// time on that of the declaration, with weights that favour recent tasks.
+class run_estimate {
+  public:
+    /// @brief Predicted run time on a target of mean speed.
+    /// @param queue Queue of the task.
+    /// @param declared Run time that the caller declared; zero for none.
+    /// @return Prediction.
+    [[nodiscard]] duration predict(const queue_id &queue, milliseconds declared) const;
+
+    /// @brief Learns from a finished task.
+    /// @param queue Queue of the task.
+    /// @param declared Run time that the caller declared; zero for none.
+    /// @param observed Run time.
+    /// @param speed Speed of the target that ran it.
+    void observe(const queue_id &queue, milliseconds declared, duration observed, double speed);
+
+  private:
+    struct statistics {
+        double samples{};
+        double mean_declared{};
+        double mean_observed{};
+        double variance_declared{};
+        double covariance{};
+    };
+
+    std::unordered_map<queue_id, statistics> m_queues;
+};
+
+} // namespace heathermoor::pool
--- a/src/heathermoor/pool/scheduler.cpp
+++ b/src/heathermoor/pool/scheduler.cpp
@@ -1,6 +1,5 @@
 #include "heathermoor/pool/scheduler.hpp"
 
-#include "heathermoor/core/hash.hpp"
 #include "heathermoor/core/event.hpp"
 #include <algorithm>
 #include <cmath>
@@ -50,7 +49,13 @@
 constexpr milliseconds pace_time{250};
 
 /// Margin by which a run must miss its job's deadline to count as hopeless.
-constexpr double hopeless_margin = 1.5;
+constexpr double hopeless_margin = 1.3;
+
+/// Ratio of speeds from which a run that would miss its deadline is moved.
+constexpr double worthwhile_gain = 1.3;
+
+/// Time for stopping a run and starting it elsewhere.
+constexpr milliseconds move_time{60};
 
 /// Time before a job's deadline in which its answer has to leave.
 constexpr milliseconds answer_margin{20};
@@ -70,10 +75,6 @@
 /// Shortest retry time given with a refusal.
 constexpr milliseconds least_retry{500};
 
-[[nodiscard]] placement::run_class class_of(const job::queue_policy &queue) {
-    return placement::run_time_model::classify(hash64(queue.name.str()), milliseconds{0});
-}
-
 } // namespace internal
 
 void scheduler::set_targets(const std::vector<scoped_target> &targets, std::set<target_id> known, log_offset catalog_next) {
@@ -417,7 +418,7 @@
         slot->state = slot_state::done;
         m_target_states[target].health.succeeded();
         if(end.own) {
-            m_run_times.observe(internal::class_of(job.queue), end.elapsed, m_speeds.speed(target));
+            m_run_times.observe(job.queue.name, job.job.steps[slot->step].estimate, end.elapsed, m_speeds.speed(target));
             m_speeds.observe(target, end.elapsed, expected);
         }
         break;
@@ -617,7 +618,7 @@
 
 duration scheduler::expected_run(const open_job &job) const {
     const auto hint = job.job.steps.empty() ? milliseconds{0} : job.job.steps.front().estimate;
-    return m_run_times.estimate(internal::class_of(job.queue), hint);
+    return m_run_times.predict(job.queue.name, hint);
 }
 
 duration scheduler::longest_run(const open_job &job) const {
@@ -662,7 +663,8 @@
     double best_speed = 0;
     std::int64_t best_left = 0;
     for(auto &one: room) {
-        if(one.target->entry.service != job.queue.service || !step.need.fits(one.free) || !suits(job, slot, one)) {
+        if(one.target->entry.service != job.queue.service || !step.need.fits(one.free) || one.speed < slot.least_speed ||
+           !suits(job, slot, one)) {
             continue;
         }
         const auto &labels = one.target->entry.labels;
@@ -811,24 +813,52 @@
     }
 }
 
+double scheduler::fastest_speed(const service_id &service, time_point now) {
+    double fastest = 0;
+    for(const auto &[id, target]: m_holder.targets()) {
+        if(target.entry.service == service && usable(target, now)) {
+            fastest = std::max(fastest, m_speeds.speed(id));
+        }
+    }
+    return fastest;
+}
+
+void scheduler::judge_pace(const held_target &target, const job::task_ref &task, const lease::run_entry &entry, time_point now,
+                           std::vector<job_id> &hopeless) {
+    const auto found = m_jobs.find(task.job);
+    const auto elapsed = entry.progress_at - entry.ordered_at;
+    if(found == m_jobs.end() || found->second.closing || entry.state != lease::run_state::running ||
+       entry.percent < internal::least_percent || elapsed < internal::pace_time) {
+        return;
+    }
+    auto &job = found->second;
+    constexpr double whole = 100.0;
+    const auto total_ms = to_ms(elapsed) * whole / static_cast<double>(entry.percent + 1);
+    if(entry.ordered_at + from_ms(total_ms) <= job.deadline) {
+        return;
+    }
+    auto *slot = find_slot(job, task);
+    const auto speed = m_speeds.speed(target.entry.id);
+    const auto faster = fastest_speed(job.queue.service, now) * (1 - internal::equal_speed);
+    const auto again_ms = total_ms * speed / std::max(faster, speed);
+    const bool rescue = faster > speed * internal::worthwhile_gain && now + internal::move_time + from_ms(again_ms) < job.deadline;
+    if(slot != nullptr && rescue && slot->least_speed == 0) {
+        slot->least_speed = faster;
+        log_event(log_level::info, "pool", "run_moved",
+                  {{"job", task.job}, {"index", task.index}, {"target", target.entry.id}, {"percent", entry.percent}, {"speed", speed},
+                   {"to_speed", faster}});
+        m_holder.stop(target.entry.id, task, now);
+    } else if(total_ms > to_ms(job.deadline - entry.ordered_at) * internal::hopeless_margin) {
+        hopeless.push_back(task.job);
+    }
+}
+
 void scheduler::end_hopeless_runs(time_point now) {
     std::vector<job_id> hopeless;
     for(const auto &[id, target]: m_holder.targets()) {
-        for(const auto &[task, entry]: target.ledger.runs()) {
-            const auto elapsed = entry.progress_at - entry.ordered_at;
-            if(entry.state != lease::run_state::running || entry.percent < internal::least_percent || elapsed < internal::pace_time) {
-                continue;
-            }
-            const auto found = m_jobs.find(task.job);
-            if(found == m_jobs.end() || found->second.closing) {
-                continue;
-            }
-            constexpr double whole = 100.0;
-            const auto total_ms = to_ms(elapsed) * whole / static_cast<double>(entry.percent + 1);
-            const auto given_ms = to_ms(found->second.deadline - entry.ordered_at);
-            if(total_ms > given_ms * internal::hopeless_margin) {
-                hopeless.push_back(task.job);
-            }
+        const auto runs = target.ledger.runs();
+        for(const auto &[task, entry]: runs) {
+            judge_pace(target, task, entry, now, hopeless);
         }
     }
     for(const auto &id: hopeless) {
--- a/src/heathermoor/pool/scheduler.hpp
+++ b/src/heathermoor/pool/scheduler.hpp
@@ -1,9 +1,9 @@
 #pragma once
 
 #include "heathermoor/job/job.hpp"
-#include "heathermoor/placement/run_time_model.hpp"
 #include "heathermoor/placement/target_health.hpp"
 #include "heathermoor/pool/ports.hpp"
+#include "heathermoor/pool/run_estimate.hpp"
 #include "heathermoor/pool/speed_model.hpp"
 #include "heathermoor/pool/target_holder.hpp"
 #include <cstdint>
@@ -172,6 +172,8 @@
         time_point placed_at;
         /// When a task out of reach has ended.
         time_point lapse_at;
+        /// Least speed of its next target, after it was stopped on one that was too slow.
+        double least_speed{};
     };
 
     struct open_job {
@@ -264,10 +266,13 @@
     [[nodiscard]] static bool plentiful(const std::vector<candidate> &room);
     void refuse_hopeless(time_point now);
     void end_hopeless_runs(time_point now);
+    void judge_pace(const held_target &target, const job::task_ref &task, const lease::run_entry &entry, time_point now,
+                    std::vector<job_id> &hopeless);
+    [[nodiscard]] double fastest_speed(const service_id &service, time_point now);
 
     answer_port &m_answers;
     target_holder m_holder;
-    placement::run_time_model m_run_times;
+    run_estimate m_run_times;
     speed_model m_speeds;
     std::unordered_map<target_id, target_state> m_target_states;
     std::map<job_id, open_job> m_jobs;
