--- a/src/heathermoor/pool/scheduler.cpp
+++ b/src/heathermoor/pool/scheduler.cpp
@@ -46,7 +46,11 @@
 constexpr std::int64_t least_percent = 1;
 
 /// Time for which a run's pace is watched before it counts.
-constexpr milliseconds pace_time{250};
+constexpr milliseconds pace_time{100};
+
+/// Multiple of the expected run time from which a run's pace counts for its
+/// target's speed before it ends.
+constexpr double slow_pace = 2.0;
 
 /// Margin by which a run must miss its job's deadline to count as hopeless.
 constexpr double hopeless_margin = 1.3;
@@ -419,7 +423,9 @@
         m_target_states[target].health.succeeded();
         if(end.own) {
             m_run_times.observe(job.queue.name, job.job.steps[slot->step].estimate, end.elapsed, m_speeds.speed(target));
-            m_speeds.observe(target, end.elapsed, expected);
+            if(!slot->pace_observed) {
+                m_speeds.observe(target, end.elapsed, expected);
+            }
         }
         break;
     case lease::run_end::failed:
@@ -723,6 +729,7 @@
         slot.target = chosen->target->entry.id;
         slot.placed_at = now;
         ++slot.last_run;
+        slot.pace_observed = false;
         job.ever_started = true;
         ++m_counts.starts;
         log_event(log_level::debug, "pool", "run_ordered",
@@ -834,10 +841,14 @@
     auto &job = found->second;
     constexpr double whole = 100.0;
     const auto total_ms = to_ms(elapsed) * whole / static_cast<double>(entry.percent + 1);
+    auto *slot = find_slot(job, task);
+    if(slot != nullptr && !slot->pace_observed && total_ms > to_ms(expected_run(job)) * internal::slow_pace) {
+        slot->pace_observed = true;
+        m_speeds.observe(target.entry.id, from_ms(total_ms), expected_run(job));
+    }
     if(entry.ordered_at + from_ms(total_ms) <= job.deadline) {
         return;
     }
-    auto *slot = find_slot(job, task);
     const auto speed = m_speeds.speed(target.entry.id);
     const auto faster = fastest_speed(job.queue.service, now) * (1 - internal::equal_speed);
     const auto again_ms = total_ms * speed / std::max(faster, speed);
--- a/src/heathermoor/pool/scheduler.hpp
+++ b/src/heathermoor/pool/scheduler.hpp
@@ -174,6 +174,8 @@
         time_point lapse_at;
         /// Least speed of its next target, after it was stopped on one that was too slow.
         double least_speed{};
+        /// The pace of the present run has counted for its target's speed.
+        bool pace_observed{};
     };
 
     struct open_job {
--- a/src/heathermoor/pool/target_holder.cpp
+++ b/src/heathermoor/pool/target_holder.cpp
@@ -16,9 +16,9 @@
 /// Lease left below which a renewal is sent; half of the length and a round trip.
 constexpr milliseconds renew_below{400};
 
-/// Wait of the call that follows a target with runs; shorter than what is left
-/// of a lease after one lost call.
-constexpr milliseconds busy_wait{250};
+/// Wait of the call that follows a target with runs: shorter than what is left of
+/// a lease after one lost call, and short enough to see early which runs are slow.
+constexpr milliseconds busy_wait{125};
 
 /// Wait of the call that follows a target without runs; the longest the platform allows.
 constexpr milliseconds idle_wait{2'000};
