--- a/src/heathermoor/pool/scheduler.cpp
+++ b/src/heathermoor/pool/scheduler.cpp
@@ -516,6 +516,7 @@
     end_hopeless_runs(now);
     std::erase_if(m_past, [now](const auto &item) { return now - item.second.at > internal::past_answer_time; });
     std::erase_if(m_orphan_ends, [now](const auto &item) { return now - item.second.ended_at > internal::past_answer_time; });
+    m_fastest = fastest_speed(now);
     m_place_due = true;
     place(now);
     refuse_hopeless(now);
@@ -656,6 +657,13 @@
     return room;
 }
 
+time_point scheduler::latest_start(const open_job &job) const {
+    const auto longest = longest_run(job);
+    const auto by_objective = job.sent_at + objective(job) - longest;
+    const auto by_deadline = job.deadline - from_ms(to_ms(longest) / std::max(1.0, m_fastest));
+    return std::min(by_objective, by_deadline);
+}
+
 double scheduler::needed_speed(const open_job &job, time_point now) const {
     const auto limit = std::min(job.sent_at + objective(job), job.deadline);
     const auto left_ms = to_ms(limit - now);
@@ -807,7 +815,7 @@
                                            [](const task_slot &slot) { return slot.state == slot_state::waiting; });
         const auto places = std::max(1.0, task_places(job->job.steps.front().need, job->queue.service));
         const auto work_ms = to_ms(expected_run(*job)) * static_cast<double>(waiting) / places;
-        const auto slack_ms = to_ms(objective(*job) - longest_run(*job) - (now - job->sent_at)) * internal::waiting_share;
+        const auto slack_ms = to_ms(latest_start(*job) - now) * internal::waiting_share;
         if(!job->ever_started && ahead_ms > std::max(0.0, slack_ms)) {
             refused.emplace_back(job->job.id, std::max(internal::least_retry, milliseconds{static_cast<std::int64_t>(ahead_ms)}));
             continue;
@@ -820,10 +828,10 @@
     }
 }
 
-double scheduler::fastest_speed(const service_id &service, time_point now) {
+double scheduler::fastest_speed(time_point now) {
     double fastest = 0;
     for(const auto &[id, target]: m_holder.targets()) {
-        if(target.entry.service == service && usable(target, now)) {
+        if(usable(target, now)) {
             fastest = std::max(fastest, m_speeds.speed(id));
         }
     }
@@ -850,7 +858,7 @@
         return;
     }
     const auto speed = m_speeds.speed(target.entry.id);
-    const auto faster = fastest_speed(job.queue.service, now) * (1 - internal::equal_speed);
+    const auto faster = m_fastest * (1 - internal::equal_speed);
     const auto again_ms = total_ms * speed / std::max(faster, speed);
     const bool rescue = faster > speed * internal::worthwhile_gain && now + internal::move_time + from_ms(again_ms) < job.deadline;
     if(slot != nullptr && rescue && slot->least_speed == 0) {
--- a/src/heathermoor/pool/scheduler.hpp
+++ b/src/heathermoor/pool/scheduler.hpp
@@ -270,7 +270,8 @@
     void end_hopeless_runs(time_point now);
     void judge_pace(const held_target &target, const job::task_ref &task, const lease::run_entry &entry, time_point now,
                     std::vector<job_id> &hopeless);
-    [[nodiscard]] double fastest_speed(const service_id &service, time_point now);
+    [[nodiscard]] double fastest_speed(time_point now);
+    [[nodiscard]] time_point latest_start(const open_job &job) const;
 
     answer_port &m_answers;
     target_holder m_holder;
@@ -285,6 +286,8 @@
     std::map<host_id, other_scheduler> m_others;
     log_offset m_catalog_next{};
     scheduler_counts m_counts;
+    /// Speed of the fastest target in use.
+    double m_fastest{1.0};
     bool m_place_due{};
 };
 
