--- a/src/heathermoor/adapter/http_server.cpp
+++ b/src/heathermoor/adapter/http_server.cpp
@@ -22,7 +22,8 @@
 constexpr int listen_backlog = 1'024;
 
 [[nodiscard]] std::string format_response(const http_response &response, bool close) {
-    auto text = fmt::format("HTTP/1.1 {} {}\r\nContent-Length: {}\r\n", response.status, http_reason(response.status), response.body.size());
+    auto text =
+        fmt::format("HTTP/1.1 {} {}\r\nContent-Length: {}\r\n", response.status, http_reason(response.status), response.body.size());
     for(const auto &[name, value]: response.headers) {
         text += fmt::format("{}: {}\r\n", name, value);
     }
--- a/src/heathermoor/adapter/system_clock_port.hpp
+++ b/src/heathermoor/adapter/system_clock_port.hpp
@@ -14,7 +14,8 @@
     [[nodiscard]] time_point now() const override {
         timespec value{};
         (void)::clock_gettime(CLOCK_BOOTTIME, &value);
-        return time_point{std::chrono::duration_cast<duration>(std::chrono::seconds{value.tv_sec} + std::chrono::nanoseconds{value.tv_nsec})};
+        return time_point{
+            std::chrono::duration_cast<duration>(std::chrono::seconds{value.tv_sec} + std::chrono::nanoseconds{value.tv_nsec})};
     }
 
     [[nodiscard]] std::chrono::milliseconds unix_now() const override {
--- a/src/heathermoor/core/event.hpp
+++ b/src/heathermoor/core/event.hpp
@@ -45,15 +45,15 @@
     /// @param name Name, which ends in the unit if there is one.
     /// @param value Number.
     template <std::integral Number>
-        requires(!std::same_as<Number, bool>)
-    event_field(std::string_view name, Number value) : m_name{name}, m_value{static_cast<std::int64_t>(value)} {}
+    requires(!std::same_as<Number, bool>) event_field(std::string_view name, Number value)
+        : m_name{name}, m_value{static_cast<std::int64_t>(value)} {}
 
     /// @brief Field with a strong number.
     /// @param name Name.
     /// @param value Number.
     template <typename Enum>
-        requires std::is_enum_v<Enum>
-    event_field(std::string_view name, Enum value) : m_name{name}, m_value{static_cast<std::int64_t>(value)} {}
+    requires std::is_enum_v<Enum> event_field(std::string_view name, Enum value)
+        : m_name{name}, m_value{static_cast<std::int64_t>(value)} {}
 
     /// @brief Field with a number that has a fraction.
     /// @param name Name, which ends in the unit if there is one.
--- a/src/heathermoor/lease/target_ledger.cpp
+++ b/src/heathermoor/lease/target_ledger.cpp
@@ -156,8 +156,8 @@
     if(report.ended.size() < internal::longest_end_list) {
         drop_absent(report, asked, now, changes);
     }
-    m_unknown_needs = static_cast<std::uint32_t>(
-        std::count_if(m_runs.begin(), m_runs.end(), [](const auto &run) { return !run.second.known; }));
+    m_unknown_needs =
+        static_cast<std::uint32_t>(std::count_if(m_runs.begin(), m_runs.end(), [](const auto &run) { return !run.second.known; }));
     return changes;
 }
 
@@ -201,8 +201,7 @@
 }
 
 bool target_ledger::has_ended(const job::task_ref &task, run_number run) const {
-    return std::any_of(m_recent_ends.begin(), m_recent_ends.end(),
-                       [&](const auto &end) { return end.first == task && end.second >= run; });
+    return std::any_of(m_recent_ends.begin(), m_recent_ends.end(), [&](const auto &end) { return end.first == task && end.second >= run; });
 }
 
 void target_ledger::take_ends(const target_report &report, time_point now, ledger_changes &changes) {
@@ -263,9 +262,8 @@
 void target_ledger::drop_absent(const target_report &report, time_point asked, time_point now, ledger_changes &changes) {
     for(auto run = m_runs.begin(); run != m_runs.end();) {
         const auto &[task, entry] = *run;
-        const bool listed = std::any_of(report.running.begin(), report.running.end(), [&](const reported_run &one) {
-            return one.task == run->first && one.run == run->second.run;
-        });
+        const bool listed = std::any_of(report.running.begin(), report.running.end(),
+                                        [&](const reported_run &one) { return one.task == run->first && one.run == run->second.run; });
         const bool confirmed = entry.state == run_state::running || entry.state == run_state::stopping;
         const bool known_before = confirmed && entry.confirmed_at != time_point{} && entry.confirmed_at + internal::listing_margin < asked;
         const bool ruled_out = entry.barred_at && *entry.barred_at < asked;
@@ -279,7 +277,8 @@
 }
 
 time_point target_ledger::lapse_time(time_point now) const noexcept {
-    const auto left = static_cast<std::int64_t>(m_latest_until) + internal::lapse_margin.count() - static_cast<std::int64_t>(m_clock.earliest(now));
+    const auto left =
+        static_cast<std::int64_t>(m_latest_until) + internal::lapse_margin.count() - static_cast<std::int64_t>(m_clock.earliest(now));
     return now + milliseconds{std::max<std::int64_t>(0, left) * 100 / (100 - clock_slowness_percent) + 1};
 }
 
--- a/src/heathermoor/member/member.cpp
+++ b/src/heathermoor/member/member.cpp
@@ -1,7 +1,7 @@
 #include "heathermoor/member/member.hpp"
 
-#include "heathermoor/core/hash.hpp"
 #include "heathermoor/core/event.hpp"
+#include "heathermoor/core/hash.hpp"
 #include "heathermoor/member/convert.hpp"
 #include <algorithm>
 
@@ -54,8 +54,7 @@
 
 member::member(settings options, ports out)
     : m_settings{std::move(options)}, m_ports{out}, m_election{internal::own_state(m_settings), out.clock.now()},
-      m_gateway{m_settings.self, out.callers, *this},
-      m_scheduler{out.orders, *this, lease::token_source{hash64(m_settings.self.str())}} {
+      m_gateway{m_settings.self, out.callers, *this}, m_scheduler{out.orders, *this, lease::token_source{hash64(m_settings.self.str())}} {
     for(const auto &seed: m_settings.seeds) {
         meet(seed);
     }
@@ -118,7 +117,8 @@
     if(!m_targets_due && m_targets_revision == m_catalog.revision() && m_targets_next == m_catalog.next() && scope == m_scope) {
         return;
     }
-    if(!m_scope.majority() && scope.majority() && at - m_leading_since > internal::widen_time && at - m_heard_more_at < internal::widen_time) {
+    if(!m_scope.majority() && scope.majority() && at - m_leading_since > internal::widen_time &&
+       at - m_heard_more_at < internal::widen_time) {
         return;
     }
     if(!(scope == m_scope)) {
@@ -295,7 +295,8 @@
     }
     const host_id from{message.from()};
     const auto at = now();
-    const auto vouched_until = from == m_settings.self ? at + internal::vouch_time : time_point{duration{message.echo_us()}} + internal::vouch_time;
+    const auto vouched_until =
+        from == m_settings.self ? at + internal::vouch_time : time_point{duration{message.echo_us()}} + internal::vouch_time;
     if(vouched_until <= at) {
         log_event(log_level::info, "member", "submission_stale", {{"job", message.pool_job().id()}, {"from", from}});
         return;
@@ -452,8 +453,9 @@
         }
     }
     if(leader != m_leader) {
-        log_event(log_level::info, "member", "leader_changed",
-                  {{"leader", leader ? leader->host : host_id{}}, {"term", leader ? leader->term : leader_term{}}, {"jobs", m_gateway.size()}});
+        log_event(
+            log_level::info, "member", "leader_changed",
+            {{"leader", leader ? leader->host : host_id{}}, {"term", leader ? leader->term : leader_term{}}, {"jobs", m_gateway.size()}});
         m_leader = leader;
         m_next_beat = now;
         m_gateway.set_leader(leader, now);
--- a/src/heathermoor/pool/scheduler.cpp
+++ b/src/heathermoor/pool/scheduler.cpp
@@ -357,9 +357,8 @@
         return;
     }
     const auto &slots = found->second.slots;
-    if(std::any_of(slots.begin(), slots.end(), [](const task_slot &slot) {
-           return slot.state == slot_state::placed || slot.state == slot_state::out_of_reach;
-       })) {
+    if(std::any_of(slots.begin(), slots.end(),
+                   [](const task_slot &slot) { return slot.state == slot_state::placed || slot.state == slot_state::out_of_reach; })) {
         return;
     }
     auto next = std::move(found->second.next);
@@ -638,7 +637,8 @@
 }
 
 bool scheduler::usable(const held_target &target, time_point now) {
-    if(target.state != hold_state::held || target.silent || target.removed || target.entry.draining || m_holder.believed_idle(target.entry.id, now)) {
+    if(target.state != hold_state::held || target.silent || target.removed || target.entry.draining ||
+       m_holder.believed_idle(target.entry.id, now)) {
         return false;
     }
     constexpr std::uint32_t unlimited = 1'000;
@@ -811,8 +811,8 @@
     std::vector<std::pair<job_id, milliseconds>> refused;
     double ahead_ms = 0;
     for(const auto *job: waiting_in_order(now)) {
-        const auto waiting = std::count_if(job->slots.begin(), job->slots.end(),
-                                           [](const task_slot &slot) { return slot.state == slot_state::waiting; });
+        const auto waiting =
+            std::count_if(job->slots.begin(), job->slots.end(), [](const task_slot &slot) { return slot.state == slot_state::waiting; });
         const auto places = std::max(1.0, task_places(job->job.steps.front().need, job->queue.service));
         const auto work_ms = to_ms(expected_run(*job)) * static_cast<double>(waiting) / places;
         const auto slack_ms = to_ms(latest_start(*job) - now) * internal::waiting_share;
@@ -864,7 +864,11 @@
     if(slot != nullptr && rescue && slot->least_speed == 0) {
         slot->least_speed = faster;
         log_event(log_level::info, "pool", "run_moved",
-                  {{"job", task.job}, {"index", task.index}, {"target", target.entry.id}, {"percent", entry.percent}, {"speed", speed},
+                  {{"job", task.job},
+                   {"index", task.index},
+                   {"target", target.entry.id},
+                   {"percent", entry.percent},
+                   {"speed", speed},
                    {"to_speed", faster}});
         m_holder.stop(target.entry.id, task, now);
     } else if(total_ms > to_ms(job.deadline - entry.ordered_at) * internal::hopeless_margin) {
--- a/src/heathermoor/pool/scheduler.hpp
+++ b/src/heathermoor/pool/scheduler.hpp
@@ -54,8 +54,7 @@
     /// @param orders Sends orders to targets.
     /// @param answers Tells entry hosts the outcome.
     /// @param tokens Makes fencing tokens.
-    scheduler(order_port &orders, answer_port &answers, lease::token_source tokens)
-        : m_answers{answers}, m_holder{orders, *this, tokens} {}
+    scheduler(order_port &orders, answer_port &answers, lease::token_source tokens) : m_answers{answers}, m_holder{orders, *this, tokens} {}
 
     /// @brief Sets the targets to use.
     /// @param targets Targets in scope.
--- /dev/null
+++ b/tests/catalog/target_catalog.cpp
@@ -0,0 +1,56 @@
+#include "heathermoor/catalog/target_catalog.hpp"
+
+#include <catch2/catch.hpp>
+
+using namespace heathermoor;
+using catalog::target_catalog;
+
+namespace {
+
+constexpr time_point start{seconds{10}};
+
+[[nodiscard]] catalog::catalog_record entry(std::uint64_t offset, const char *id) {
+    catalog::target_entry listed;
+    listed.id = target_id{id};
+    listed.service = service_id{"service"};
+    return {log_offset{offset}, listed.id, listed};
+}
+
+[[nodiscard]] catalog::catalog_record removal(std::uint64_t offset, const char *id) {
+    return {log_offset{offset}, target_id{id}, std::nullopt};
+}
+
+} // namespace
+
+SCENARIO("The catalog bridges entries that lapse while the list is away", "[catalog]") {
+    target_catalog listed;
+    listed.apply(entry(1, "a"), start);
+    listed.apply(entry(2, "b"), start);
+    listed.apply(removal(3, "a"), start);
+
+    THEN("an entry that comes back was never gone") {
+        CHECK_FALSE(listed.expire(start + seconds{2}));
+        listed.apply(entry(4, "a"), start + seconds{2});
+        CHECK_FALSE(listed.expire(start + seconds{5}));
+        CHECK(listed.entries().size() == 2);
+    }
+    THEN("one that does not is gone, yet still known for a while") {
+        CHECK(listed.expire(start + seconds{3}));
+        CHECK(listed.entries().size() == 1);
+        CHECK(listed.known().size() == 2);
+        (void)listed.expire(start + seconds{70});
+        CHECK(listed.known().size() == 1);
+    }
+    THEN("an older record changes nothing") {
+        listed.apply(entry(1, "a"), start);
+        CHECK(listed.expire(start + seconds{3}));
+    }
+    THEN("a full read removes what it does not contain") {
+        listed.begin_snapshot();
+        listed.apply(entry(6, "a"), start);
+        listed.end_snapshot(start);
+        CHECK(listed.expire(start + seconds{3}));
+        REQUIRE(listed.entries().size() == 1);
+        CHECK(listed.entries().front().id == target_id{"a"});
+    }
+}
--- /dev/null
+++ b/tests/feed/topic_follower.cpp
@@ -0,0 +1,89 @@
+#include "heathermoor/feed/topic_follower.hpp"
+
+#include <catch2/catch.hpp>
+#include <vector>
+
+using namespace heathermoor;
+using namespace heathermoor::feed;
+
+namespace {
+
+struct fake_topic final : topic_port, topic_listener {
+    void read_newest(const std::string &after) override { newest.push_back(after); }
+    void read_from(log_offset from, milliseconds) override { reads.push_back(raw(from)); }
+    void topic_changed(const std::vector<keyed_record> &records, log_offset next, bool complete) override {
+        taken += records.size();
+        last_next = raw(next);
+        completes += complete ? 1 : 0;
+    }
+    void topic_reachable(bool answer) override { reachable = answer; }
+
+    std::vector<std::string> newest;
+    std::vector<std::uint64_t> reads;
+    std::size_t taken{};
+    std::uint64_t last_next{};
+    int completes{};
+    bool reachable{};
+};
+
+[[nodiscard]] topic_page page(std::uint64_t end, std::vector<std::uint64_t> offsets, std::string next_key = {}) {
+    topic_page result;
+    result.result = read_result::done;
+    result.end = log_offset{end};
+    result.next_key = std::move(next_key);
+    for(const auto offset: offsets) {
+        result.records.push_back({log_offset{offset}, "k" + std::to_string(offset), "v"});
+    }
+    return result;
+}
+
+} // namespace
+
+SCENARIO("A topic is read whole, then followed by offset", "[feed]") {
+    fake_topic topic;
+    topic_follower follower{topic, topic, {milliseconds{0}, seconds{20}}};
+    time_point now{seconds{1}};
+    follower.tick(now);
+    REQUIRE(topic.newest == std::vector<std::string>{""});
+    follower.answered(page(7, {2, 4}, "k4"), now);
+    follower.tick(now);
+    REQUIRE(topic.newest.back() == "k4");
+    CHECK(topic.completes == 0);
+    follower.answered(page(9, {5}), now);
+    CHECK(topic.completes == 1);
+    CHECK(topic.taken == 3);
+
+    THEN("changes since the first page are read, none is skipped") {
+        follower.tick(now);
+        CHECK(topic.reads == std::vector<std::uint64_t>{7});
+        follower.answered(page(9, {7, 8}), now);
+        follower.tick(now);
+        CHECK(topic.reads.back() == 9);
+        follower.answered(page(9, {}), now);
+        follower.tick(now);
+        CHECK(topic.reads.back() == 9);
+    }
+    THEN("a failed read is repeated after a pause that grows to a second") {
+        follower.tick(now);
+        follower.answered({}, now);
+        CHECK_FALSE(topic.reachable);
+        follower.tick(now + milliseconds{100});
+        CHECK(topic.reads.size() == 1);
+        follower.tick(now + milliseconds{260});
+        CHECK(topic.reads.size() == 2);
+        for(int count = 0; count < 6; ++count) {
+            now += seconds{2};
+            follower.answered({}, now);
+            follower.tick(now + milliseconds{1'000});
+        }
+        CHECK(topic.reads.size() == 8);
+    }
+    THEN("lost history leads to a new full read") {
+        follower.tick(now);
+        topic_page lost;
+        lost.result = read_result::history_lost;
+        follower.answered(lost, now);
+        follower.tick(now);
+        CHECK(topic.newest.size() == 3);
+    }
+}
--- /dev/null
+++ b/tests/platform/settings.cpp
@@ -0,0 +1,42 @@
+#include "settings.hpp"
+
+#include "heathermoor/core/error.hpp"
+#include <catch2/catch.hpp>
+
+using namespace heathermoor;
+using platform::parse_settings;
+
+namespace {
+
+[[nodiscard]] std::string replaced(std::string text, const std::string &from, const std::string &to) {
+    const auto at = text.find(from);
+    REQUIRE(at != std::string::npos);
+    return text.replace(at, from.size(), to);
+}
+
+const std::string whole = R"({"node":"front-1","ip":"10.1.0.13","zone":"caroni","listen":{"front":"10.1.0.13:8161","ready":"10.1.0.13:8167"},
+    "internal_ports":[7720,7735],"seeds":["10.1.0.13:8166"],"platform":{"address":"10.200.1.7:8169"},"bounds":{"grace_s":6},"new":{}})";
+
+} // namespace
+
+SCENARIO("Settings are checked, and a bad one is named", "[platform][settings]") {
+    const auto good = parse_settings(whole);
+    REQUIRE_FALSE(good.error);
+    CHECK(good.value.peer_port == 7'720);
+    CHECK(good.value.seed_ips == std::vector<std::string>{"10.1.0.13"});
+    CHECK(good.value.stop_limit == milliseconds{6'000});
+
+    const auto field = [](const std::string &text) {
+        const auto result = parse_settings(text);
+        CHECK(result.error == errc::invalid_setting);
+        return result.field;
+    };
+    CHECK(field("") == "(the whole file is not a JSON object)");
+    CHECK(field(replaced(whole, R"("node":"front-1",)", "")) == "node");
+    CHECK(field(replaced(whole, "7720,7735", "7735,7720")) == "internal_ports");
+    CHECK(field(replaced(whole, "[7720,7735]", "\"x\"")) == "internal_ports");
+    CHECK(field(replaced(whole, "10.1.0.13:8161", "nowhere")) == "listen.front");
+    CHECK(field(replaced(whole, R"(["10.1.0.13:8166"])", "[3]")) == "seeds");
+    CHECK(field(replaced(whole, "10.200.1.7:8169", "10.200.1.7")) == "platform.address");
+    CHECK(field(replaced(whole, R"("grace_s":6)", R"("grace_s":"x")")) == "bounds.grace_s");
+}
--- /dev/null
+++ b/tests/pool/scheduler.cpp
@@ -0,0 +1,262 @@
+#include "heathermoor/pool/scheduler.hpp"
+
+#include "heathermoor/core/log.hpp"
+#include <catch2/catch.hpp>
+#include <map>
+#include <vector>
+
+using namespace heathermoor;
+using namespace heathermoor::pool;
+
+namespace {
+
+constexpr std::int64_t task_cpu = 8'000;
+constexpr milliseconds declared{100};
+
+/// Scheduler on targets that do what they are told at once, by hand.
+struct hand_driven final : order_port, answer_port {
+    hand_driven() : work{*this, *this, lease::token_source{1}} { set_log_level(log_level::error); }
+
+    void start(const start_order &order) override { starts.push_back(order); }
+    void stop(const stop_order &order) override { stops.push_back(order); }
+    void report(const report_order &order) override { reports.push_back(order); }
+    void release(const target_id &) override {}
+    void answer(const host_id &to, const job_id &job, const job::answer &answer) override { answers[job].emplace_back(to, answer); }
+
+    void add_targets(int count) {
+        std::vector<scoped_target> targets;
+        std::set<target_id> known;
+        for(int index = 0; index < count; ++index) {
+            catalog::target_entry entry;
+            entry.id = target_id{"t" + std::to_string(index)};
+            entry.service = service_id{"s"};
+            entry.capacity = {2 * task_cpu, 1'000, 0};
+            known.insert(entry.id);
+            targets.push_back({entry, milliseconds{300}});
+        }
+        work.set_targets(targets, known, log_offset{1});
+        tick();
+        answer_reports();
+    }
+
+    void tick() {
+        work.vouch(host_id{"a"}, now + seconds{1});
+        work.vouch(host_id{"b"}, now + seconds{1});
+        work.tick(now, milliseconds{1'000'000});
+    }
+
+    /// Answers all open calls with what runs according to the starts.
+    void answer_reports() {
+        const auto open = std::exchange(reports, {});
+        for(const auto &order: open) {
+            report_answer answer{order.to.target, order.to.token, order.purpose, lease::order_outcome::done, {}, order.until, now};
+            answer.report.boot = target_boot{1};
+            answer.report.clock = clock();
+            for(const auto &[task, run]: running) {
+                if(run.target == order.to.target) {
+                    answer.report.running.push_back({task, run.number, run.percent});
+                }
+            }
+            answer.report.ended = ended[order.to.target];
+            work.report_answered(answer, now);
+        }
+        work.place(now);
+    }
+
+    void answer_starts() {
+        for(const auto &order: std::exchange(starts, {})) {
+            running[order.task] = {order.to.target, order.run, 0};
+            all_starts.push_back(order);
+            work.start_answered({order.to.target, order.to.token, order.task, order.run, lease::order_outcome::done, order.until, clock()}, now);
+        }
+    }
+
+    void end(const job::task_ref &task, lease::run_end how) {
+        const auto run = running.at(task);
+        running.erase(task);
+        auto &list = ended[run.target];
+        list.push_back({end_number{list.size() + 1}, task, run.number, how});
+    }
+
+    void submit(const std::string &id, const char *from, std::uint32_t tasks, std::uint32_t priority = 0) {
+        submission one;
+        one.job.id = job_id{id};
+        one.job.steps.push_back({tasks, {task_cpu, 10, 0}, declared, {}, {}, {}, 0});
+        one.queue.name = queue_id{"q" + std::to_string(priority)};
+        one.queue.service = service_id{"s"};
+        one.queue.priority = priority;
+        one.queue.max_attempts = 2;
+        one.queue.stretch = 1.6;
+        one.queue.target_latency = milliseconds{60};
+        one.from = host_id{from};
+        one.remaining = milliseconds{1'500};
+        work.submit(std::move(one), now);
+        work.place(now);
+    }
+
+    [[nodiscard]] lease::target_time clock() const {
+        return lease::target_time{std::chrono::duration_cast<milliseconds>(now.time_since_epoch()).count()};
+    }
+
+    [[nodiscard]] std::size_t count(job::outcome result) const {
+        std::size_t sum = 0;
+        for(const auto &[id, list]: answers) {
+            sum += !list.empty() && list.front().second.result == result ? 1 : 0;
+        }
+        return sum;
+    }
+
+    struct placed_run {
+        target_id target;
+        run_number number{};
+        std::int64_t percent{};
+    };
+
+    time_point now{seconds{100}};
+    std::vector<start_order> starts;
+    std::vector<start_order> all_starts;
+    std::vector<stop_order> stops;
+    std::vector<report_order> reports;
+    std::map<job_id, std::vector<std::pair<host_id, job::answer>>> answers;
+    std::map<job::task_ref, placed_run> running;
+    std::map<target_id, std::vector<lease::reported_end>> ended;
+    scheduler work;
+};
+
+} // namespace
+
+SCENARIO("Many callers at once: what cannot be served in time is refused at once, nothing while room is free", "[pool]") {
+    hand_driven bench;
+    bench.add_targets(4);
+    GIVEN("as many tasks as there is room for") {
+        for(int index = 0; index < 8; ++index) {
+            bench.submit("fit" + std::to_string(index), "a", 1);
+        }
+        bench.tick();
+        CHECK(bench.starts.size() == 8);
+        CHECK(bench.count(job::outcome::refused) == 0);
+    }
+    GIVEN("ten times as many") {
+        for(int index = 0; index < 80; ++index) {
+            bench.submit("job" + std::to_string(index), "a", 1);
+        }
+        bench.tick();
+        THEN("the room is used, the slack is filled, the rest is told to come back") {
+            CHECK(bench.starts.size() == 8);
+            CHECK(bench.count(job::outcome::refused) > 50);
+            CHECK(bench.count(job::outcome::refused) < 72);
+            for(const auto &[id, list]: bench.answers) {
+                CHECK(list.front().second.retry_after > milliseconds{0});
+            }
+        }
+    }
+    GIVEN("urgent callers behind a queue of others") {
+        for(int index = 0; index < 40; ++index) {
+            bench.submit("late" + std::to_string(index), "a", 1, 2);
+        }
+        bench.submit("urgent", "a", 1, 0);
+        bench.answer_starts();
+        bench.now += milliseconds{20};
+        bench.end({job_id{"late0"}, 0, 0}, lease::run_end::done);
+        bench.answer_reports();
+        REQUIRE(bench.starts.size() == 1);
+        CHECK(bench.starts.front().task.job == job_id{"urgent"});
+    }
+}
+
+SCENARIO("A job that is submitted again while it runs is one job", "[pool]") {
+    hand_driven bench;
+    bench.add_targets(2);
+    bench.submit("one", "a", 2);
+    bench.submit("one", "b", 2);
+    bench.answer_starts();
+    CHECK(bench.all_starts.size() == 2);
+    bench.end({job_id{"one"}, 0, 0}, lease::run_end::done);
+    bench.end({job_id{"one"}, 0, 1}, lease::run_end::done);
+    bench.now += milliseconds{50};
+    bench.answer_reports();
+    REQUIRE(bench.answers[job_id{"one"}].size() == 2);
+    CHECK(bench.answers[job_id{"one"}].back().second.result == job::outcome::completed);
+
+    THEN("a copy that comes after its end gets the same answer") {
+        bench.submit("one", "a", 2);
+        CHECK(bench.answers[job_id{"one"}].size() == 3);
+        CHECK(bench.starts.empty());
+    }
+}
+
+SCENARIO("A run whose pace misses the deadline moves to a faster target", "[pool]") {
+    hand_driven bench;
+    bench.add_targets(2);
+    GIVEN("one target that is known to be three times as fast") {
+        for(int index = 0; index < 30; ++index) {
+            const auto id = "warm" + std::to_string(index);
+            bench.submit(id, "a", 4);
+            bench.answer_starts();
+            const auto runs = bench.running;
+            for(const auto &[task, run]: runs) {
+                if(run.target == target_id{"t0"}) {
+                    bench.end(task, lease::run_end::done);
+                }
+            }
+            bench.now += milliseconds{100};
+            bench.answer_reports();
+            bench.now += milliseconds{200};
+            const auto rest = bench.running;
+            for(const auto &[task, run]: rest) {
+                bench.end(task, lease::run_end::done);
+            }
+            bench.tick();
+            bench.answer_reports();
+        }
+        bench.submit("x", "a", 4);
+        bench.answer_starts();
+        job::task_ref slow;
+        for(auto &[task, run]: bench.running) {
+            run.percent = run.target == target_id{"t1"} ? 8 : 50;
+            slow = run.target == target_id{"t1"} ? task : slow;
+        }
+        REQUIRE(slow.job == job_id{"x"});
+        bench.now += milliseconds{150};
+        bench.tick();
+        bench.answer_reports();
+        bench.stops.clear();
+        bench.tick();
+        THEN("the slow run is stopped, and starts on the fast target when that has room") {
+            REQUIRE_FALSE(bench.stops.empty());
+            CHECK(bench.stops.front().to.target == target_id{"t1"});
+        }
+    }
+}
+
+SCENARIO("A task that fails is tried as often as its queue allows", "[pool]") {
+    hand_driven bench;
+    bench.add_targets(1);
+    bench.submit("one", "a", 1);
+    for(int attempt = 0; attempt < 2; ++attempt) {
+        bench.answer_starts();
+        bench.end({job_id{"one"}, 0, 0}, lease::run_end::failed);
+        bench.now += milliseconds{50};
+        bench.tick();
+        bench.answer_reports();
+    }
+    REQUIRE(bench.all_starts.size() == 2);
+    CHECK(bench.all_starts.back().run > bench.all_starts.front().run);
+    REQUIRE(bench.answers[job_id{"one"}].size() == 1);
+    CHECK(bench.answers[job_id{"one"}].front().second.result == job::outcome::failed);
+}
+
+SCENARIO("A lost entry host takes its jobs with it", "[pool]") {
+    hand_driven bench;
+    bench.add_targets(1);
+    bench.submit("one", "c", 1);
+    bench.work.vouch(host_id{"c"}, bench.now + milliseconds{450});
+    bench.work.place(bench.now);
+    bench.tick();
+    bench.answer_starts();
+    REQUIRE(bench.all_starts.size() == 1);
+    bench.now += milliseconds{460};
+    bench.tick();
+    REQUIRE(bench.stops.size() == 1);
+    CHECK(bench.stops.front().task.job == job_id{"one"});
+}
--- a/tests/support/pool_world.cpp
+++ b/tests/support/pool_world.cpp
@@ -42,7 +42,8 @@
 }
 
 void model_target::end(const job::task_ref &task, lease::run_end how) {
-    log_event(log_level::debug, "world", "ended", {{"job", task.job}, {"index", task.index}, {"target", m_entry.id}, {"how", lease::name_of(how)}});
+    log_event(log_level::debug, "world", "ended",
+              {{"job", task.job}, {"index", task.index}, {"target", m_entry.id}, {"how", lease::name_of(how)}});
     const auto found = m_runs.find(task);
     m_ended.push_back({end_number{m_next_end++}, task, found->second.number, how});
     auto &barred = m_barred[task];
@@ -375,7 +376,8 @@
     const auto index = m_target_index.at(order.to.target);
     pool::order_answer answer{order.to.target, order.to.token, order.task, order.run, lease::order_outcome::unanswered, order.until, {}};
     const auto respond = [this, from, process](duration delay, const pool::order_answer &result) {
-        at(delay, [this, from, process, result] { on_host(from, process, [result](member::member &host) { host.start_answered(result); }); });
+        at(delay,
+           [this, from, process, result] { on_host(from, process, [result](member::member &host) { host.start_answered(result); }); });
     };
     const auto execute = [this, index, order](time_point now) {
         auto &target = m_targets[index];
@@ -389,7 +391,11 @@
         const auto outcome = target.start(order, need, work, fails, now);
         if(target.runs().size() > before) {
             log_event(log_level::debug, "world", "began",
-                      {{"job", order.task.job}, {"index", order.task.index}, {"run", order.run}, {"target", order.to.target}, {"at_ms", now.time_since_epoch()}});
+                      {{"job", order.task.job},
+                       {"index", order.task.index},
+                       {"run", order.run},
+                       {"target", order.to.target},
+                       {"at_ms", now.time_since_epoch()}});
             job.started = true;
             if(!need.fits(target.entry().capacity - (target.used() - need))) {
                 m_broken.push_back(fmt::format("{}: {} over its capacity", to_ms(now.time_since_epoch()), order.to.target.str()));
@@ -397,8 +403,9 @@
             for(std::size_t other = 0; other < m_targets.size(); ++other) {
                 m_targets[other].advance(now);
                 if(other != index && m_targets[other].runs().contains(order.task)) {
-                    m_broken.push_back(fmt::format("{}: {}.{} runs twice, on {} and {}", to_ms(now.time_since_epoch()), order.task.job.str(),
-                                                   order.task.index, m_targets[other].entry().id.str(), order.to.target.str()));
+                    m_broken.push_back(fmt::format("{}: {}.{} runs twice, on {} and {}", to_ms(now.time_since_epoch()),
+                                                   order.task.job.str(), order.task.index, m_targets[other].entry().id.str(),
+                                                   order.to.target.str()));
                 }
             }
             if(job.attempts_open == 0 && !job.answered_unrefused && job.any_refused) {
@@ -441,16 +448,17 @@
             }
         });
     }
-    at(answer.outcome == lease::order_outcome::unanswered ? order_timeout : latency, [this, from, process, answer] {
-        on_host(from, process, [answer](member::member &host) { host.stop_answered(answer); });
-    });
+    at(answer.outcome == lease::order_outcome::unanswered ? order_timeout : latency,
+       [this, from, process, answer] { on_host(from, process, [answer](member::member &host) { host.stop_answered(answer); }); });
 }
 
 void pool_world::deliver_report(std::size_t from, std::uint64_t process, const pool::report_order &order) {
     const auto index = m_target_index.at(order.to.target);
-    pool::report_answer answer{order.to.target, order.to.token, order.purpose, lease::order_outcome::unanswered, {}, order.until, m_now - latency};
+    pool::report_answer answer{order.to.target, order.to.token, order.purpose, lease::order_outcome::unanswered, {},
+                               order.until,     m_now - latency};
     const auto respond = [this, from, process](duration delay, const pool::report_answer &result) {
-        at(delay, [this, from, process, result] { on_host(from, process, [result](member::member &host) { host.report_answered(result); }); });
+        at(delay,
+           [this, from, process, result] { on_host(from, process, [result](member::member &host) { host.report_answered(result); }); });
     };
     const auto timeout = duration{order.wait} + (order.wait > milliseconds{0} ? wait_slack : order_timeout);
     if(!reaches_target(from, index) || late()) {
@@ -592,8 +600,8 @@
 }
 
 std::size_t pool_world::leaders() const {
-    return static_cast<std::size_t>(std::count_if(m_hosts.begin(), m_hosts.end(),
-                                                  [](const auto &state) { return state->running && state->host->leading(); }));
+    return static_cast<std::size_t>(
+        std::count_if(m_hosts.begin(), m_hosts.end(), [](const auto &state) { return state->running && state->host->leading(); }));
 }
 
 std::size_t pool_world::leader() const {
--- a/tests/support/pool_world.hpp
+++ b/tests/support/pool_world.hpp
@@ -28,7 +28,8 @@
 
     [[nodiscard]] const catalog::target_entry &entry() const noexcept { return m_entry; }
     [[nodiscard]] lease::target_time clock(time_point now) const;
-    [[nodiscard]] lease::order_outcome start(const pool::start_order &order, const resources &need, duration work, bool fails, time_point now);
+    [[nodiscard]] lease::order_outcome start(const pool::start_order &order, const resources &need, duration work, bool fails,
+                                             time_point now);
     [[nodiscard]] lease::order_outcome stop(const pool::stop_order &order, time_point now);
     [[nodiscard]] lease::order_outcome hold(const pool::report_order &order, time_point now);
     [[nodiscard]] lease::target_report report(time_point now) const;
