--- a/tests/adapter/http.cpp
+++ b/tests/adapter/http.cpp
@@ -17,15 +17,16 @@
 /// Server that answers with the body it got, or keeps requests open.
 struct echo_server {
     echo_server()
-        : server{context,
-                 [this](http_request_id id, http_message message) {
-                     last = id;
-                     ++requests;
-                     if(answering) {
-                         server.reply(id, {200, {{"Content-Type", "text/plain"}}, message.method + " " + message.target + " " + message.body});
-                     }
-                 },
-                 [this](http_request_id) { ++abandoned; }} {
+        : server{
+              context,
+              [this](http_request_id id, http_message message) {
+                  last = id;
+                  ++requests;
+                  if(answering) {
+                      server.reply(id, {200, {{"Content-Type", "text/plain"}}, message.method + " " + message.target + " " + message.body});
+                  }
+              },
+              [this](http_request_id) { ++abandoned; }} {
         std::error_code error;
         port = server.listen("127.0.0.1:0", error);
         REQUIRE_FALSE(error);
@@ -65,11 +66,14 @@
 SCENARIO("The server reads what clients send, whole or in pieces", "[adapter][http]") {
     echo_server echo;
     THEN("pipelined requests are answered in order") {
-        const auto got = echo.talk("GET /a HTTP/1.1\r\nHost: x\r\n\r\nPOST /b HTTP/1.1\r\nContent-Length: 2\r\nConnection: close\r\n\r\nhi");
+        const auto got =
+            echo.talk("GET /a HTTP/1.1\r\nHost: x\r\n\r\nPOST /b HTTP/1.1\r\nContent-Length: 2\r\nConnection: close\r\n\r\nhi");
         CHECK(got.find("GET /a ") < got.find("POST /b hi"));
         CHECK(got.find("Connection: close") != std::string::npos);
     }
-    THEN("bytes that are no request are refused") { CHECK(echo.talk("nonsense\r\n\r\n").starts_with("HTTP/1.1 400")); }
+    THEN("bytes that are no request are refused") {
+        CHECK(echo.talk("nonsense\r\n\r\n").starts_with("HTTP/1.1 400"));
+    }
     THEN("limits are kept") {
         echo.server.set_limits({100, 10, milliseconds{3'000}, milliseconds{3'000}});
         CHECK(echo.talk("GET / HTTP/1.1\r\nX: " + std::string(200, 'x') + "\r\n\r\n").starts_with("HTTP/1.1 431"));
--- a/tests/lease/target_ledger.cpp
+++ b/tests/lease/target_ledger.cpp
@@ -66,7 +66,9 @@
             }
             AND_WHEN("its lease has passed on the target's slow clock") {
                 CHECK(ledger.lapsed(start + milliseconds{760}).empty());
-                THEN("it has lapsed") { CHECK(ledger.lapsed(start + milliseconds{800}).size() == 1); }
+                THEN("it has lapsed") {
+                    CHECK(ledger.lapsed(start + milliseconds{800}).size() == 1);
+                }
             }
         }
         WHEN("the target refuses it") {
@@ -97,7 +99,9 @@
     const auto changes = ledger.reported(report, start, start);
     REQUIRE(changes.found.size() == 1);
 
-    THEN("nothing fits while its need is not known") { CHECK(ledger.free() == resources{}); }
+    THEN("nothing fits while its need is not known") {
+        CHECK(ledger.free() == resources{});
+    }
     THEN("it may not be kept alive until it belongs to a job") {
         CHECK(ledger.has_foreign_run());
         ledger.set_need(task_a, half);
--- a/tests/platform/codec.cpp
+++ b/tests/platform/codec.cpp
@@ -24,11 +24,11 @@
         CHECK(decoded.job.steps[1].required_label == "b");
     }
     GIVEN("bodies that are not jobs") {
-        const auto *body = GENERATE("", "[]", "{", R"({"best_effort":true})", R"({"best_effort":true,"steps":{}})",
-                                    R"({"best_effort":true,"steps":[1]})", R"({"best_effort":true,"steps":[{"count":0}]})",
-                                    R"({"best_effort":true,"steps":[{"count":-1}]})", R"({"best_effort":true,"steps":[{"count":1,"cpu":"x"}]})",
-                                    R"({"best_effort":true,"steps":[{"count":1,"after":[0]}]})",
-                                    R"({"best_effort":true,"spec":1,"steps":[{"count":1}]})");
+        const auto *body =
+            GENERATE("", "[]", "{", R"({"best_effort":true})", R"({"best_effort":true,"steps":{}})", R"({"best_effort":true,"steps":[1]})",
+                     R"({"best_effort":true,"steps":[{"count":0}]})", R"({"best_effort":true,"steps":[{"count":-1}]})",
+                     R"({"best_effort":true,"steps":[{"count":1,"cpu":"x"}]})", R"({"best_effort":true,"steps":[{"count":1,"after":[0]}]})",
+                     R"({"best_effort":true,"spec":1,"steps":[{"count":1}]})");
         CHECK(decode_job(id, body).error == errc::malformed_request);
     }
     GIVEN("an identifier that is none") {
@@ -65,8 +65,7 @@
 SCENARIO("Orders and answers of targets", "[platform][codec]") {
     const job::task_ref task{job_id{id}, 1, 17};
     pool::start_order order{{target_id{"i-1"}, "a", fencing_token{7}}, task, run_number{2}, "a \"text\"", lease::target_time{486'000}};
-    CHECK(encode_start(order) ==
-          R"({"fencing_token":7,"run":2,"spec":"a \"text\"","task":"5c0e7a21d94b36f8.0.1.17","until_ms":486000})");
+    CHECK(encode_start(order) == R"({"fencing_token":7,"run":2,"spec":"a \"text\"","task":"5c0e7a21d94b36f8.0.1.17","until_ms":486000})");
     CHECK(encode_stop({order.to, task, run_number{2}}) == R"({"task":"5c0e7a21d94b36f8.0.1.17","run":2,"fencing_token":7})");
     CHECK(encode_report_order({order.to, pool::report_purpose::follow, lease::target_time{9}, end_number{57}, milliseconds{250}}) ==
           R"({"fencing_token":7,"last_seen":57,"until_ms":9,"wait_ms":250})");
@@ -91,9 +90,9 @@
         CHECK(report->running.front().percent == 41);
         CHECK(report->ended.front().number == end_number{58});
         CHECK(report->ended.front().how == lease::run_end::done);
-        const auto *broken = GENERATE("", "[]", R"({"clock_ms":1})", R"({"clock_ms":1,"running":[[]],"ended":[]})",
-                                      R"({"clock_ms":1,"running":[["nodots",1,"",0]],"ended":[]})",
-                                      R"({"clock_ms":-1,"running":[],"ended":[]})");
+        const auto *broken =
+            GENERATE("", "[]", R"({"clock_ms":1})", R"({"clock_ms":1,"running":[[]],"ended":[]})",
+                     R"({"clock_ms":1,"running":[["nodots",1,"",0]],"ended":[]})", R"({"clock_ms":-1,"running":[],"ended":[]})");
         CHECK_FALSE(decode_report(broken));
     }
 }
--- a/tests/platform/settings.cpp
+++ b/tests/platform/settings.cpp
@@ -14,7 +14,8 @@
     return text.replace(at, from.size(), to);
 }
 
-const std::string whole = R"({"node":"front-1","ip":"10.1.0.13","zone":"caroni","listen":{"front":"10.1.0.13:8161","ready":"10.1.0.13:8167"},
+const std::string whole =
+    R"({"node":"front-1","ip":"10.1.0.13","zone":"caroni","listen":{"front":"10.1.0.13:8161","ready":"10.1.0.13:8167"},
     "internal_ports":[7720,7735],"seeds":["10.1.0.13:8166"],"platform":{"address":"10.200.1.7:8169"},"bounds":{"grace_s":6},"new":{}})";
 
 } // namespace
--- a/tests/pool/scheduler.cpp
+++ b/tests/pool/scheduler.cpp
@@ -67,7 +67,8 @@
         for(const auto &order: std::exchange(starts, {})) {
             running[order.task] = {order.to.target, order.run, 0};
             all_starts.push_back(order);
-            work.start_answered({order.to.target, order.to.token, order.task, order.run, lease::order_outcome::done, order.until, clock()}, now);
+            work.start_answered({order.to.target, order.to.token, order.task, order.run, lease::order_outcome::done, order.until, clock()},
+                                now);
         }
     }
 
