--- a/src/heathermoor/feed/topic_follower.cpp
+++ b/src/heathermoor/feed/topic_follower.cpp
@@ -16,6 +16,14 @@
 
 } // namespace internal
 
+void topic_follower::set_pace(follow_pace pace) noexcept {
+    const bool shorter = pace.interval < m_pace.interval;
+    m_pace = pace;
+    if(shorter && m_has_snapshot && m_failures == 0) {
+        m_due = std::min(m_due, m_answered + pace.interval);
+    }
+}
+
 void topic_follower::tick(time_point now) {
     if(m_reading || now < m_due) {
         return;
@@ -36,6 +44,7 @@
 
 void topic_follower::answered(topic_page page, time_point now) {
     m_reading = false;
+    m_answered = now;
     m_listener.topic_reachable(page.result != read_result::failed);
     if(page.result == read_result::failed) {
         m_due = now + std::min(internal::longest_pause, internal::first_pause * (1 << std::min(m_failures, 4U)));
--- a/src/heathermoor/feed/topic_follower.hpp
+++ b/src/heathermoor/feed/topic_follower.hpp
@@ -84,9 +84,9 @@
     /// @param pace Pace.
     topic_follower(topic_port &store, topic_listener &listener, follow_pace pace) : m_store{store}, m_listener{listener}, m_pace{pace} {}
 
-    /// @brief Changes the pace from the next read on.
+    /// @brief Changes the pace; a shorter one makes the next read due earlier.
     /// @param pace Pace.
-    void set_pace(follow_pace pace) noexcept { m_pace = pace; }
+    void set_pace(follow_pace pace) noexcept;
 
     /// @brief Sends the read that is due.
     /// @param now Current time.
@@ -109,6 +109,8 @@
     std::vector<keyed_record> m_pages;
     log_offset m_next{};
     time_point m_due{};
+    /// When the latest read was answered.
+    time_point m_answered{};
     std::uint32_t m_failures{};
 };
 
--- a/src/heathermoor/lease/target_ledger.cpp
+++ b/src/heathermoor/lease/target_ledger.cpp
@@ -224,7 +224,13 @@
 
 void target_ledger::take_running(const target_report &report, time_point now, ledger_changes &changes) {
     for(const auto &listed: report.running) {
-        const auto found = m_runs.find(listed.task);
+        auto found = m_runs.find(listed.task);
+        if(found != m_runs.end() && found->second.run < listed.run) {
+            // Another holder has started the task anew since.
+            changes.ended.push_back(internal::make_end(listed.task, found->second, run_end::lost, now));
+            m_runs.erase(found);
+            found = m_runs.end();
+        }
         if(found == m_runs.end()) {
             if(has_ended(listed.task, listed.run)) {
                 continue;
--- /dev/null
+++ b/src/heathermoor/pool/scheduler_pace.cpp
@@ -0,0 +1,124 @@
+#include "heathermoor/pool/scheduler.hpp"
+
+#include "heathermoor/core/event.hpp"
+#include "heathermoor/pool/policy.hpp"
+#include <algorithm>
+#include <utility>
+
+namespace heathermoor::pool {
+
+namespace internal {
+
+/// Progress below which a run's pace says too little of its end.
+constexpr std::int64_t least_percent = 1;
+
+/// Time for which a run's pace is watched before it counts.
+constexpr milliseconds pace_time{100};
+
+/// Multiple of the expected run time from which a run's pace counts for its
+/// target's speed before it ends.
+constexpr double slow_pace = 2.0;
+
+/// Margin by which a run must miss its job's deadline to count as hopeless.
+constexpr double hopeless_margin = 1.3;
+
+/// Ratio of speeds from which a run that would miss its deadline is moved.
+constexpr double worthwhile_gain = 1.3;
+
+/// Time for stopping a run and starting it elsewhere.
+constexpr milliseconds move_time{60};
+
+/// Progress is expected to change within this time.
+constexpr milliseconds stall_time{700};
+
+/// Multiple of the expected run time from which a task may count as stalled.
+constexpr double stall_run_factor = 3.0;
+
+} // namespace internal
+
+void scheduler::stop_stalled(time_point now) {
+    std::vector<std::pair<target_id, job::task_ref>> due;
+    for(const auto &[id, target]: m_holder.targets()) {
+        for(const auto &[task, entry]: target.ledger.runs()) {
+            const auto found = m_jobs.find(task.job);
+            if(found == m_jobs.end() || entry.state != lease::run_state::running || now - entry.progress_at < internal::stall_time) {
+                continue;
+            }
+            const auto expected = from_ms(to_ms(expected_run(found->second)) * internal::stall_run_factor);
+            if(now - entry.ordered_at > expected && !target.silent) {
+                due.emplace_back(id, task);
+            }
+        }
+    }
+    for(const auto &[target, task]: due) {
+        m_target_states[target].health.failed(now, false);
+        m_holder.stop(target, task, now);
+    }
+}
+
+double scheduler::fastest_speed(time_point now) {
+    double fastest = 0;
+    for(const auto &[id, target]: m_holder.targets()) {
+        if(usable(target, now)) {
+            fastest = std::max(fastest, m_speeds.speed(id));
+        }
+    }
+    return fastest;
+}
+
+void scheduler::judge_pace(const held_target &target, const job::task_ref &task, const lease::run_entry &entry, time_point now,
+                           std::vector<job_id> &hopeless) {
+    const auto found = m_jobs.find(task.job);
+    const auto elapsed = entry.progress_at - entry.ordered_at;
+    if(found == m_jobs.end() || found->second.closing || entry.state != lease::run_state::running ||
+       entry.percent < internal::least_percent || elapsed < internal::pace_time) {
+        return;
+    }
+    auto &job = found->second;
+    constexpr double whole = 100.0;
+    const auto total_ms = to_ms(elapsed) * whole / static_cast<double>(entry.percent + 1);
+    auto *slot = find_slot(job, task);
+    if(slot != nullptr && !slot->pace_observed && total_ms > to_ms(expected_run(job)) * internal::slow_pace) {
+        slot->pace_observed = true;
+        m_speeds.observe(target.entry.id, from_ms(total_ms), expected_run(job));
+    }
+    if(entry.ordered_at + from_ms(total_ms) <= job.deadline) {
+        return;
+    }
+    const auto speed = m_speeds.speed(target.entry.id);
+    const auto faster = m_fastest * (1 - internal::equal_speed);
+    const auto again_ms = total_ms * speed / std::max(faster, speed);
+    const bool rescue = faster > speed * internal::worthwhile_gain && now + internal::move_time + from_ms(again_ms) < job.deadline;
+    if(slot != nullptr && rescue && slot->least_speed == 0) {
+        slot->least_speed = faster;
+        log_event(log_level::info, "pool", "run_moved",
+                  {{"job", task.job},
+                   {"index", task.index},
+                   {"target", target.entry.id},
+                   {"percent", entry.percent},
+                   {"speed", speed},
+                   {"to_speed", faster}});
+        m_holder.stop(target.entry.id, task, now);
+    } else if(total_ms > to_ms(job.deadline - entry.ordered_at) * internal::hopeless_margin) {
+        hopeless.push_back(task.job);
+    }
+}
+
+void scheduler::end_hopeless_runs(time_point now) {
+    std::vector<job_id> hopeless;
+    for(const auto &[id, target]: m_holder.targets()) {
+        const auto runs = target.ledger.runs();
+        for(const auto &[task, entry]: runs) {
+            judge_pace(target, task, entry, now, hopeless);
+        }
+    }
+    for(const auto &id: hopeless) {
+        const auto found = m_jobs.find(id);
+        if(found != m_jobs.end() && !found->second.closing) {
+            finish(found->second, {job::outcome::unknown, errc::deadline_unreachable, {}}, now);
+            erase_if_closed(id, now);
+        }
+    }
+}
+
+} // namespace heathermoor::pool
--- a/src/heathermoor/pool/target_holder.cpp
+++ b/src/heathermoor/pool/target_holder.cpp
@@ -187,6 +187,7 @@
         return;
     }
     target.silent = false;
+    target.leaving = answer.report.remaining.has_value();
     target.proved_at = std::max(target.proved_at, answer.asked);
     if(target.state == hold_state::claiming) {
         target.state = hold_state::held;
--- a/src/heathermoor/pool/target_holder.hpp
+++ b/src/heathermoor/pool/target_holder.hpp
@@ -67,6 +67,8 @@
     time_point answer_due;
     /// The latest call was not answered; nothing new is started until one is.
     bool silent{};
+    /// The target itself says that it is about to leave.
+    bool leaving{};
     /// The catalog no longer has it.
     bool removed{};
 };
--- a/tests/lease/target_ledger.cpp
+++ b/tests/lease/target_ledger.cpp
@@ -114,6 +114,24 @@
     }
 }
 
+SCENARIO("The ledger sees that another holder has started a task anew", "[lease]") {
+    target_ledger ledger{{16'000, 1'000, 0}};
+    auto report = report_at(5'000);
+    report.running.push_back({task_a, run_number{1}, 10});
+    (void)ledger.reported(report, start, start);
+    auto later = report_at(5'300);
+    later.running.push_back({task_a, run_number{2}, 5});
+    const auto changes = ledger.reported(later, start + milliseconds{290}, start + milliseconds{300});
+
+    THEN("the earlier run is gone and the later one found, in one step") {
+        REQUIRE(changes.ended.size() == 1);
+        CHECK(changes.ended.front().how == run_end::lost);
+        REQUIRE(changes.found.size() == 1);
+        CHECK(changes.found.front().run == run_number{2});
+        CHECK(ledger.find(task_a)->run == run_number{2});
+    }
+}
+
 SCENARIO("The ledger follows a restart of the target", "[lease]") {
     auto ledger = held_ledger();
     ledger.order_start(task_a, run_number{1}, half, ledger.lease_until(milliseconds{700}, start), start);
--- a/tests/pool/scheduler.cpp
+++ b/tests/pool/scheduler.cpp
@@ -58,6 +58,7 @@
                 }
             }
             answer.report.ended = ended[order.to.target];
+            answer.report.remaining = leaving.contains(order.to.target) ? std::optional{milliseconds{4'000}} : std::nullopt;
             work.report_answered(answer, now);
         }
         work.place(now);
@@ -119,6 +120,7 @@
     std::vector<stop_order> stops;
     std::vector<report_order> reports;
     std::map<job_id, std::vector<std::pair<host_id, job::answer>>> answers;
+    std::set<target_id> leaving;
     std::map<job::task_ref, placed_run> running;
     std::map<target_id, std::vector<lease::reported_end>> ended;
     scheduler work;
@@ -247,6 +249,19 @@
     CHECK(bench.answers[job_id{"one"}].front().second.result == job::outcome::failed);
 }
 
+SCENARIO("A target that says it leaves gets no new work, whatever the list says", "[pool]") {
+    hand_driven bench;
+    bench.add_targets(2);
+    bench.leaving.insert(target_id{"t0"});
+    bench.now += milliseconds{10};
+    bench.tick();
+    bench.answer_reports();
+    bench.submit("one", "a", 2);
+    REQUIRE(bench.starts.size() == 2);
+    CHECK(bench.starts[0].to.target == target_id{"t1"});
+    CHECK(bench.starts[1].to.target == target_id{"t1"});
+}
+
 SCENARIO("A lost entry host takes its jobs with it", "[pool]") {
     hand_driven bench;
     bench.add_targets(1);
