--- a/src/heathermoor/member/member.cpp
+++ b/src/heathermoor/member/member.cpp
@@ -252,12 +252,12 @@
     peer.catalog_next = log_offset{beat.catalog_next()};
     const bool gave_up = peer.leading && !beat.leading();
     peer.leading = beat.leading();
-    if(beat.leading()) {
+    if(beat.leading() && message.echo_us() != 0) {
         std::set<target_id> idle;
         for(const auto &target: beat.idle_targets()) {
             idle.emplace(target);
         }
-        m_scheduler.note_other(from, std::move(idle), peer.catalog_next, at);
+        m_scheduler.note_other(from, std::move(idle), peer.catalog_next, time_point{duration{message.echo_us()}});
     }
     if(gave_up && m_leading) {
         m_scheduler.reclaim(at);
--- a/src/heathermoor/pool/scheduler.cpp
+++ b/src/heathermoor/pool/scheduler.cpp
@@ -27,7 +27,7 @@
 constexpr milliseconds answer_margin{20};
 
 /// Time for which another scheduler's word on its idle targets holds.
-constexpr milliseconds idle_word_time{800};
+constexpr milliseconds idle_word_time{1'000};
 
 /// Time in which all targets can be asked what they run for an earlier scheduler.
 constexpr milliseconds proof_time{250};
@@ -118,8 +118,8 @@
     m_place_due = true;
 }
 
-void scheduler::note_other(const host_id &host, std::set<target_id> idle, log_offset catalog_next, time_point now) {
-    m_others[host] = {std::move(idle), catalog_next, now};
+void scheduler::note_other(const host_id &host, std::set<target_id> idle, log_offset catalog_next, time_point said_at) {
+    m_others[host] = {std::move(idle), catalog_next, said_at};
 }
 
 bool scheduler::vouched(const open_job &job, time_point now) const {
@@ -144,7 +144,7 @@
     if(other == m_others.end() || other->second.catalog_next > m_catalog_next) {
         return false;
     }
-    if(now - other->second.heard_at > internal::idle_word_time) {
+    if(now - other->second.said_at > internal::idle_word_time) {
         return m_holder.proved(job.opened_at, {});
     }
     return m_holder.proved(job.opened_at, other->second.idle);
--- a/src/heathermoor/pool/scheduler.hpp
+++ b/src/heathermoor/pool/scheduler.hpp
@@ -100,8 +100,8 @@
     /// @param host Host of that scheduler.
     /// @param idle Targets that certainly run nothing for it.
     /// @param catalog_next How far it has read the list of targets.
-    /// @param now Current time.
-    void note_other(const host_id &host, std::set<target_id> idle, log_offset catalog_next, time_point now);
+    /// @param said_at Time on this host's clock after which it said so.
+    void note_other(const host_id &host, std::set<target_id> idle, log_offset catalog_next, time_point said_at);
 
     /// @brief Names the targets on which nothing ordered here can be at work.
     /// @param now Current time.
@@ -214,7 +214,7 @@
     struct other_scheduler {
         std::set<target_id> idle;
         log_offset catalog_next{};
-        time_point heard_at;
+        time_point said_at;
     };
 
     struct target_state {
--- a/src/heathermoor/pool/target_holder.cpp
+++ b/src/heathermoor/pool/target_holder.cpp
@@ -35,7 +35,7 @@
 /// Time after a target was last named as idle in which nothing is started on it:
 /// longer than other hosts act on such word, and than an entry host that has gone
 /// to another scheduler still counts as waiting here.
-constexpr milliseconds idle_belief_time{1'300};
+constexpr milliseconds idle_belief_time{1'500};
 
 /// Time between stops of one run.
 constexpr milliseconds stop_retry{200};
