--- a/src/heathermoor/gateway/gateway.cpp
+++ b/src/heathermoor/gateway/gateway.cpp
@@ -111,7 +111,7 @@
     if(entry == m_jobs.end()) {
         return;
     }
-    const bool final = answer.result == job::outcome::completed || answer.result == job::outcome::failed;
+    const bool final = job::is_final(answer.result);
     const bool current = m_leader && *m_leader == from;
     if(final || current) {
         end(id, answer, now);
@@ -150,32 +150,15 @@
     }
 }
 
-void gateway::count(job::outcome result) noexcept {
-    switch(result) {
-    case job::outcome::completed:
-        ++m_counts.completed;
-        break;
-    case job::outcome::failed:
-        ++m_counts.failed;
-        break;
-    case job::outcome::refused:
-        ++m_counts.refused;
-        break;
-    case job::outcome::unknown:
-        ++m_counts.unknown;
-        break;
-    }
-}
-
 void gateway::end(const job_id &id, const job::answer &answer, time_point now) {
     const auto entry = m_jobs.find(id);
     const auto requests = std::move(entry->second.requests);
     m_jobs.erase(entry);
-    count(answer.result);
+    m_counts.ended.add(answer.result);
     const bool whole = answer.result == job::outcome::completed;
     log_event(whole ? log_level::debug : log_level::info, "gateway", "job_ended",
               {{"job", id}, {"outcome", job::name_of(answer.result)}, {"reason", code_name(answer.reason)}, {"callers", requests.size()}});
-    if(answer.result == job::outcome::completed || answer.result == job::outcome::failed) {
+    if(job::is_final(answer.result)) {
         m_past[id] = {answer, now};
     }
     for(const auto request: requests) {
--- a/src/heathermoor/gateway/gateway.hpp
+++ b/src/heathermoor/gateway/gateway.hpp
@@ -59,10 +59,7 @@
 /// @brief Counts of the gateway, for metrics.
 struct gateway_counts {
     std::uint64_t submitted{};
-    std::uint64_t completed{};
-    std::uint64_t failed{};
-    std::uint64_t refused{};
-    std::uint64_t unknown{};
+    job::outcome_counts ended;
     std::uint64_t abandoned{};
     std::uint64_t handed_over{};
 };
@@ -166,7 +163,6 @@
 
     void hand(open_job &job, time_point now);
     void end(const job_id &id, const job::answer &answer, time_point now);
-    void count(job::outcome result) noexcept;
 
     host_id m_self;
     caller_port &m_callers;
--- a/src/heathermoor/job/job.hpp
+++ b/src/heathermoor/job/job.hpp
@@ -90,6 +90,40 @@
     return "unknown";
 }
 
+/// @brief Jobs by how they ended.
+struct outcome_counts {
+    std::uint64_t completed{};
+    std::uint64_t failed{};
+    std::uint64_t refused{};
+    std::uint64_t unknown{};
+
+    /// @brief Counts one job.
+    /// @param result How it ended.
+    void add(outcome result) noexcept {
+        switch(result) {
+        case outcome::completed:
+            ++completed;
+            break;
+        case outcome::failed:
+            ++failed;
+            break;
+        case outcome::refused:
+            ++refused;
+            break;
+        case outcome::unknown:
+            ++unknown;
+            break;
+        }
+    }
+};
+
+/// @brief Whether an outcome is the job's own, to be kept for a resubmission.
+/// @param result Outcome.
+/// @return True if the job has run to its end.
+[[nodiscard]] constexpr bool is_final(outcome result) noexcept {
+    return result == outcome::completed || result == outcome::failed;
+}
+
 /// @brief Final answer to a job.
 struct answer {
     outcome result{outcome::unknown};
--- a/src/heathermoor/pool/scheduler.cpp
+++ b/src/heathermoor/pool/scheduler.cpp
@@ -271,21 +271,8 @@
     for(const auto &host: job.hosts) {
         m_answers.answer(host, job.job.id, answer);
     }
-    switch(answer.result) {
-    case job::outcome::completed:
-        ++m_counts.completed;
-        break;
-    case job::outcome::failed:
-        ++m_counts.failed;
-        break;
-    case job::outcome::refused:
-        ++m_counts.refused;
-        break;
-    case job::outcome::unknown:
-        ++m_counts.unknown;
-        break;
-    }
-    if(answer.result == job::outcome::completed || answer.result == job::outcome::failed) {
+    m_counts.ended.add(answer.result);
+    if(job::is_final(answer.result)) {
         if(m_past.size() >= internal::most_past_answers) {
             m_past.erase(m_past.begin());
         }
--- a/src/heathermoor/pool/scheduler.hpp
+++ b/src/heathermoor/pool/scheduler.hpp
@@ -38,10 +38,7 @@
 /// @brief Counts of the scheduler, for metrics and heartbeats.
 struct scheduler_counts {
     std::uint64_t starts{};
-    std::uint64_t completed{};
-    std::uint64_t failed{};
-    std::uint64_t refused{};
-    std::uint64_t unknown{};
+    job::outcome_counts ended;
     std::uint64_t cancelled{};
     std::uint64_t runs_failed{};
     std::uint64_t runs_lost{};
--- a/src/heathermoor/pool/scheduler_placing.cpp
+++ b/src/heathermoor/pool/scheduler_placing.cpp
@@ -91,8 +91,8 @@
     double best_speed = 0;
     std::int64_t best_left = 0;
     for(auto &one: room) {
-        if(one.target->entry.service != job.queue.service || !step.need.fits(one.free) || one.speed < slot.least_speed ||
-           !suits(job, slot, one)) {
+        if(one.target->entry.service != job.queue.service || !step.need.fits(one.free) ||
+           one.speed < std::min(slot.least_speed, m_fastest) || !suits(job, slot, one)) {
             continue;
         }
         const auto &labels = one.target->entry.labels;
--- a/src/heathermoor/pool/target_holder.cpp
+++ b/src/heathermoor/pool/target_holder.cpp
@@ -78,11 +78,14 @@
     return {target.entry.id, target.entry.address, target.token};
 }
 
-held_target *target_holder::held(const target_id &id, fencing_token token) {
-    const auto found = m_targets.find(id);
-    if(found == m_targets.end() || found->second.token != token || found->second.state != hold_state::held) {
+held_target *target_holder::note_answer(const order_answer &answer, time_point now) {
+    const auto found = m_targets.find(answer.target);
+    if(found == m_targets.end() || found->second.token != answer.token || found->second.state != hold_state::held) {
         return nullptr;
     }
+    if(answer.clock) {
+        found->second.ledger.observe_clock(*answer.clock, now);
+    }
     return &found->second;
 }
 
@@ -116,13 +119,10 @@
 }
 
 void target_holder::start_answered(const order_answer &answer, time_point now) {
-    auto *target = held(answer.target, answer.token);
+    auto *target = note_answer(answer, now);
     if(target == nullptr) {
         return;
     }
-    if(answer.clock) {
-        target->ledger.observe_clock(*answer.clock, now);
-    }
     if(answer.outcome == lease::order_outcome::done) {
         target->silent = false;
         target->ledger.lease_confirmed(answer.until);
@@ -142,13 +142,10 @@
 }
 
 void target_holder::stop_answered(const order_answer &answer, time_point now) {
-    auto *target = held(answer.target, answer.token);
+    auto *target = note_answer(answer, now);
     if(target == nullptr) {
         return;
     }
-    if(answer.clock) {
-        target->ledger.observe_clock(*answer.clock, now);
-    }
     if(answer.outcome == lease::order_outcome::done) {
         target->ledger.stop_answered(answer.task, answer.run, now);
         renew(*target, now);
@@ -191,7 +188,6 @@
     target.proved_at = std::max(target.proved_at, answer.asked);
     if(target.state == hold_state::claiming) {
         target.state = hold_state::held;
-        target.held_since = now;
         target.ledger.fence_raised(answer.asked);
         m_tokens.accepted();
         log_event(log_level::debug, "pool", "target_claimed",
--- a/src/heathermoor/pool/target_holder.hpp
+++ b/src/heathermoor/pool/target_holder.hpp
@@ -53,8 +53,6 @@
     fencing_token token{};
     /// Earliest time of the next claim.
     time_point next_claim;
-    /// When the target was taken over.
-    time_point held_since;
     /// When the latest report was asked for that the target answered to this holder.
     time_point proved_at;
     /// Since when a report is wanted, whatever is known.
@@ -184,7 +182,8 @@
     [[nodiscard]] bool certainly_idle(const target_id &id) const;
     void publish(const target_id &id, const lease::ledger_changes &changes, time_point now);
     [[nodiscard]] order_address address_of(const held_target &target) const;
-    [[nodiscard]] held_target *held(const target_id &id, fencing_token token);
+    /// Target that an answer belongs to, with its clock noted; null if the answer is to an earlier holding.
+    [[nodiscard]] held_target *note_answer(const order_answer &answer, time_point now);
 
     order_port &m_orders;
     holder_listener &m_listener;
--- a/tests/pool/scheduler.cpp
+++ b/tests/pool/scheduler.cpp
@@ -229,6 +229,18 @@
             REQUIRE_FALSE(bench.stops.empty());
             CHECK(bench.stops.front().to.target == target_id{"t1"});
         }
+        THEN("it goes back to a slow one when no fast one is left") {
+            bench.leaving.insert(target_id{"t0"});
+            const auto stopped = bench.stops.front().task;
+            bench.end(stopped, lease::run_end::stopped);
+            bench.now += milliseconds{50};
+            bench.tick();
+            bench.answer_reports();
+            bench.tick();
+            REQUIRE_FALSE(bench.starts.empty());
+            CHECK(bench.starts.back().task == stopped);
+            CHECK(bench.starts.back().to.target == target_id{"t1"});
+        }
     }
 }
 
