--- a/src/heathermoor/heathermoor.hpp
+++ b/src/heathermoor/heathermoor.hpp
@@ -46,6 +46,7 @@
 #include "heathermoor/placement/dispatcher.hpp"
 #include "heathermoor/placement/scheduler.hpp"
 #include "heathermoor/placement/spreader.hpp"
+#include "heathermoor/pool/experience.hpp"
 #include "heathermoor/pool/ports.hpp"
 #include "heathermoor/pool/run_estimate.hpp"
 #include "heathermoor/pool/scheduler.hpp"
--- a/src/heathermoor/host/node.cpp
+++ b/src/heathermoor/host/node.cpp
@@ -119,6 +119,7 @@
     case wire::envelope::kPoolPulled:
     case wire::envelope::kPoolRoutes:
     case wire::envelope::kPoolTargets:
+    case wire::envelope::kPoolLearned:
     case wire::envelope::BODY_NOT_SET:
         break;
     }
--- a/src/heathermoor/member/convert.cpp
+++ b/src/heathermoor/member/convert.cpp
@@ -1,5 +1,7 @@
 #include "heathermoor/member/convert.hpp"
 
+#include <cmath>
+
 namespace heathermoor::member {
 
 namespace internal {
@@ -171,4 +173,45 @@
     return records;
 }
 
+wire::pool_experience to_wire(const pool::experience &learned) {
+    wire::pool_experience message;
+    for(const auto &known: learned.queues) {
+        auto &queue = *message.add_queues();
+        queue.set_queue(known.queue.str());
+        queue.set_samples(known.samples);
+        queue.set_mean_declared(known.mean_declared);
+        queue.set_mean_observed(known.mean_observed);
+        queue.set_variance_declared(known.variance_declared);
+        queue.set_covariance(known.covariance);
+    }
+    for(const auto &known: learned.targets) {
+        auto &target = *message.add_targets();
+        target.set_target(known.target.str());
+        target.set_boot(raw(known.boot));
+        target.set_mean_log_ratio(static_cast<float>(known.mean_log_ratio));
+        target.set_samples(known.samples);
+    }
+    return message;
+}
+
+pool::experience from_wire(const wire::pool_experience &message) {
+    pool::experience learned;
+    for(const auto &queue: message.queues()) {
+        const pool::queue_experience known{queue_id{queue.queue()}, queue.samples(),           queue.mean_declared(),
+                                           queue.mean_observed(),   queue.variance_declared(), queue.covariance()};
+        const bool finite = std::isfinite(known.samples) && std::isfinite(known.mean_declared) && std::isfinite(known.mean_observed) &&
+                            std::isfinite(known.variance_declared) && std::isfinite(known.covariance);
+        if(finite && known.samples > 0) {
+            learned.queues.push_back(known);
+        }
+    }
+    for(const auto &target: message.targets()) {
+        if(std::isfinite(target.mean_log_ratio())) {
+            learned.targets.push_back(
+                {target_id{target.target()}, target_boot{target.boot()}, static_cast<double>(target.mean_log_ratio()), target.samples()});
+        }
+    }
+    return learned;
+}
+
 } // namespace heathermoor::member
--- a/src/heathermoor/member/convert.hpp
+++ b/src/heathermoor/member/convert.hpp
@@ -41,4 +41,14 @@
 /// @return Records.
 [[nodiscard]] std::vector<catalog::catalog_record> from_wire(const wire::pool_catalog &message);
 
+/// @brief A scheduler's experience as a message.
+/// @param learned Experience.
+/// @return Message.
+[[nodiscard]] wire::pool_experience to_wire(const pool::experience &learned);
+
+/// @brief A scheduler's experience from a message; figures that cannot be are left out.
+/// @param message Message.
+/// @return Experience.
+[[nodiscard]] pool::experience from_wire(const wire::pool_experience &message);
+
 } // namespace heathermoor::member
--- a/src/heathermoor/member/member.cpp
+++ b/src/heathermoor/member/member.cpp
@@ -35,6 +35,15 @@
 /// Time for which an answered probe shows that other failure domains can be reached.
 constexpr milliseconds far_reach_time{1'500};
 
+/// Time between messages with the leader's experience to the hosts that may succeed it.
+constexpr milliseconds experience_interval{1'000};
+
+/// Time between records of it in the platform's store, for the case that all hosts are lost.
+constexpr milliseconds keep_interval{5'000};
+
+/// Hosts that get it: enough for several successors to be lost at once.
+constexpr std::size_t experienced_hosts = 8;
+
 /// Time after which a host that is not heard is no longer passed on to others.
 constexpr seconds gossip_time{20};
 
@@ -152,6 +161,37 @@
     }
 }
 
+void member::pass_experience_on(time_point now) {
+    if(!m_leading || now < m_next_experience || now - m_leading_since < internal::experience_interval) {
+        return;
+    }
+    m_next_experience = now + internal::experience_interval;
+    wire::envelope message;
+    *message.mutable_pool_learned() = to_wire(m_scheduler.learned());
+    auto successors = m_election.alive(now);
+    successors.resize(std::min(successors.size(), internal::experienced_hosts));
+    for(const auto &host: successors) {
+        send(host, message);
+    }
+    if(now >= m_next_keep && m_scope.majority()) {
+        m_next_keep = now + internal::keep_interval;
+        m_ports.store.keep(message.pool_learned().SerializeAsString());
+    }
+}
+
+void member::recall(const std::string &bytes) {
+    wire::pool_experience message;
+    if(m_experienced || m_leading) {
+        return;
+    }
+    if(!message.ParseFromString(bytes)) {
+        log_event(log_level::warning, "member", "experience_unreadable", {{"bytes", bytes.size()}});
+        return;
+    }
+    m_scheduler.recall(from_wire(message));
+    log_event(log_level::info, "member", "experience_recalled", {{"queues", message.queues_size()}, {"targets", message.targets_size()}});
+}
+
 void member::send(const host_id &to, wire::envelope message) {
     message.set_from(m_settings.self.str());
     message.set_incarnation(raw(m_settings.process));
@@ -223,6 +263,12 @@
     case wire::envelope::kPoolRoutes:
         (void)apply_config(from_wire(message.pool_routes()));
         break;
+    case wire::envelope::kPoolLearned:
+        if(!m_leading) {
+            m_experienced = true;
+            m_scheduler.recall(from_wire(message.pool_learned()));
+        }
+        break;
     case wire::envelope::kPoolTargets:
         apply_catalog(from_wire(message.pool_targets()), log_offset{message.pool_targets().next()}, false);
         break;
@@ -536,6 +582,7 @@
     if(m_leading) {
         m_scheduler.vouch(m_settings.self, at + internal::vouch_time);
         m_scheduler.tick(at, m_ports.clock.unix_now());
+        pass_experience_on(at);
     }
     pull_from_peers(at);
     if(at >= m_next_beat) {
--- a/src/heathermoor/member/member.hpp
+++ b/src/heathermoor/member/member.hpp
@@ -24,11 +24,20 @@
     std::vector<host_id> seeds;
 };
 
+/// @brief Keeps what the pool has learned beyond the loss of all hosts.
+class experience_port : public interface {
+  public:
+    /// @brief Keeps the newest experience; may fail without a word, since the next one follows soon.
+    /// @param bytes Experience, to be given to `member::recall` by later processes.
+    virtual void keep(const std::string &bytes) = 0;
+};
+
 /// @brief Ports of one host of a shared pool.
 struct ports {
     port::peer_port &peers;
     pool::order_port &orders;
     gateway::caller_port &callers;
+    experience_port &store;
     port::clock_port &clock;
 };
 
@@ -73,6 +82,10 @@
     /// @param reachable True after an answer.
     void store_reachable(bool reachable);
 
+    /// @brief Takes over what an earlier process of the pool has kept; ignored once something newer is known.
+    /// @param bytes Experience as it was given to `experience_port::keep`.
+    void recall(const std::string &bytes);
+
     /// @brief Learns of another host from the platform.
     /// @param host Host.
     void meet(const host_id &host);
@@ -174,6 +187,7 @@
     void pull_from_peers(time_point now);
     void update_targets();
     void probe_far_targets(time_point now);
+    void pass_experience_on(time_point now);
 
     settings m_settings;
     ports m_ports;
@@ -200,6 +214,9 @@
     time_point m_next_beat{};
     time_point m_next_pull{};
     time_point m_store_answered{};
+    time_point m_next_experience{};
+    time_point m_next_keep{};
+    bool m_experienced{};
     bool m_draining_inbox{};
 };
 
--- a/src/heathermoor/pool/fwd.hpp
+++ b/src/heathermoor/pool/fwd.hpp
@@ -2,6 +2,7 @@
 
 namespace heathermoor::pool {
 
+struct experience;
 class order_port;
 class answer_port;
 class holder_listener;
--- a/src/heathermoor/pool/run_estimate.cpp
+++ b/src/heathermoor/pool/run_estimate.cpp
@@ -51,6 +51,7 @@
 
 void run_estimate::observe(const queue_id &queue, milliseconds declared, duration observed, double speed) {
     auto &known = m_queues[queue];
+    known.queue = queue;
     known.samples += 1;
     const auto gain = 1.0 / std::min(known.samples, internal::window_samples);
     const auto y = internal::log_ms(to_ms(observed) * speed);
@@ -62,4 +63,17 @@
     known.covariance += gain * (x_before * (y - known.mean_observed) - known.covariance);
 }
 
+std::vector<queue_experience> run_estimate::learned() const {
+    std::vector<queue_experience> result;
+    result.reserve(m_queues.size());
+    for(const auto &[queue, known]: m_queues) {
+        result.push_back(known);
+    }
+    return result;
+}
+
+void run_estimate::recall(const queue_experience &earlier) {
+    m_queues[earlier.queue] = earlier;
+}
+
 } // namespace heathermoor::pool
--- a/src/heathermoor/pool/run_estimate.hpp
+++ b/src/heathermoor/pool/run_estimate.hpp
@@ -2,6 +2,7 @@
 
 #include "heathermoor/core/id.hpp"
 #include "heathermoor/core/time.hpp"
+#include "heathermoor/pool/experience.hpp"
 #include <unordered_map>
 
 namespace heathermoor::pool {
@@ -26,16 +27,16 @@
     /// @param speed Speed of the target that ran it.
     void observe(const queue_id &queue, milliseconds declared, duration observed, double speed);
 
+    /// @brief What was learned of all queues.
+    /// @return One entry for each queue.
+    [[nodiscard]] std::vector<queue_experience> learned() const;
+
+    /// @brief Takes over what the present scheduler has learned of a queue; replaces what is known here.
+    /// @param earlier What it has learned.
+    void recall(const queue_experience &earlier);
+
   private:
-    struct statistics {
-        double samples{};
-        double mean_declared{};
-        double mean_observed{};
-        double variance_declared{};
-        double covariance{};
-    };
-
-    std::unordered_map<queue_id, statistics> m_queues;
+    std::unordered_map<queue_id, queue_experience> m_queues;
 };
 
 } // namespace heathermoor::pool
--- a/src/heathermoor/pool/scheduler.cpp
+++ b/src/heathermoor/pool/scheduler.cpp
@@ -36,10 +36,42 @@
 
 void scheduler::set_targets(const std::vector<scoped_target> &targets, std::set<target_id> known, log_offset catalog_next) {
     m_holder.set_targets(targets, std::move(known));
+    for(const auto &[entry, pause]: targets) {
+        const auto recalled = m_recalled.find(entry.id);
+        if(recalled == m_recalled.end()) {
+            continue;
+        }
+        if(recalled->second.boot == entry.boot) {
+            m_speeds.recall(recalled->second);
+        }
+        m_recalled.erase(recalled);
+    }
     m_catalog_next = catalog_next;
     m_place_due = true;
 }
 
+experience scheduler::learned() const {
+    experience result;
+    result.queues = m_run_times.learned();
+    for(const auto &[id, target]: m_holder.targets()) {
+        if(auto known = m_speeds.learned(id)) {
+            known->boot = target.entry.boot;
+            result.targets.push_back(std::move(*known));
+        }
+    }
+    return result;
+}
+
+void scheduler::recall(const experience &earlier) {
+    for(const auto &queue: earlier.queues) {
+        m_run_times.recall(queue);
+    }
+    m_recalled.clear();
+    for(const auto &target: earlier.targets) {
+        m_recalled[target.target] = target;
+    }
+}
+
 void scheduler::resign() {
     m_holder.release_all();
     m_jobs.clear();
@@ -429,6 +461,11 @@
     }
 }
 
+void scheduler::target_restarted(const target_id &target) {
+    m_speeds.forget(target);
+    m_target_states.erase(target);
+}
+
 void scheduler::start_answered(const order_answer &answer, time_point now) {
     if(answer.outcome == lease::order_outcome::unwell) {
         m_target_states[answer.target].health.failed(now, false);
--- a/src/heathermoor/pool/scheduler.hpp
+++ b/src/heathermoor/pool/scheduler.hpp
@@ -2,6 +2,7 @@
 
 #include "heathermoor/job/job.hpp"
 #include "heathermoor/placement/target_health.hpp"
+#include "heathermoor/pool/experience.hpp"
 #include "heathermoor/pool/ports.hpp"
 #include "heathermoor/pool/run_estimate.hpp"
 #include "heathermoor/pool/speed_model.hpp"
@@ -62,6 +63,16 @@
     /// @brief Gives up all targets and jobs; entry hosts hand theirs to the next scheduler.
     void resign();
 
+    /// @brief What this scheduler has learned of queues and of the targets that it holds.
+    /// @return Experience for the next scheduler.
+    [[nodiscard]] experience learned() const;
+
+    /// @brief Takes over what another scheduler has learned.
+    ///
+    /// What it says of a target counts once the list of targets shows the same boot.
+    /// @param earlier Experience; replaces what is known here.
+    void recall(const experience &earlier);
+
     /// @brief Takes a job; a job that is known already is joined.
     /// @param work Job.
     /// @param now Current time.
@@ -148,6 +159,7 @@
     void run_ended(const target_id &target, const lease::ended_run &end, time_point now) override;
     void run_found(const target_id &target, const lease::found_run &run, time_point now) override;
     void target_taken(const target_id &target, const std::vector<job::task_ref> &runs, time_point lapse, time_point now) override;
+    void target_restarted(const target_id &target) override;
 
   private:
     enum class slot_state : std::uint8_t {
@@ -273,6 +285,8 @@
     target_holder m_holder;
     run_estimate m_run_times;
     speed_model m_speeds;
+    /// What an earlier scheduler has learned of targets that are not in scope yet.
+    std::unordered_map<target_id, target_experience> m_recalled;
     std::unordered_map<target_id, target_state> m_target_states;
     std::map<job_id, open_job> m_jobs;
     std::map<job_id, past_answer> m_past;
--- a/src/heathermoor/pool/speed_model.cpp
+++ b/src/heathermoor/pool/speed_model.cpp
@@ -48,4 +48,21 @@
     }
 }
 
+std::optional<target_experience> speed_model::learned(const target_id &target) const {
+    const auto found = m_targets.find(target);
+    if(found == m_targets.end()) {
+        return std::nullopt;
+    }
+    return target_experience{target, {}, found->second.mean_log_ratio, found->second.samples};
+}
+
+void speed_model::recall(const target_experience &earlier) {
+    if(earlier.samples == 0) {
+        return;
+    }
+    auto &known = m_targets[earlier.target];
+    m_sum += earlier.mean_log_ratio - known.mean_log_ratio;
+    known = {earlier.mean_log_ratio, std::min(earlier.samples, internal::window_samples)};
+}
+
 } // namespace heathermoor::pool
--- a/src/heathermoor/pool/speed_model.hpp
+++ b/src/heathermoor/pool/speed_model.hpp
@@ -2,6 +2,8 @@
 
 #include "heathermoor/core/id.hpp"
 #include "heathermoor/core/time.hpp"
+#include "heathermoor/pool/experience.hpp"
+#include <optional>
 #include <unordered_map>
 
 namespace heathermoor::pool {
@@ -24,6 +26,15 @@
     /// @param target Target.
     void forget(const target_id &target);
 
+    /// @brief Figures that the speed of a target rests on.
+    /// @param target Target.
+    /// @return Figures without a boot; nothing for a target that has ended no task.
+    [[nodiscard]] std::optional<target_experience> learned(const target_id &target) const;
+
+    /// @brief Takes over what the present scheduler has learned of a target; replaces what is known here.
+    /// @param earlier What it has learned.
+    void recall(const target_experience &earlier);
+
   private:
     struct statistics {
         double mean_log_ratio{};
--- a/src/heathermoor/pool/target_holder.cpp
+++ b/src/heathermoor/pool/target_holder.cpp
@@ -202,6 +202,7 @@
         // A start that was delayed in the network may still reach the new boot: raise its fence.
         target.state = hold_state::idle;
         target.next_claim = now;
+        m_listener.target_restarted(answer.target);
     }
     publish(answer.target, changes, now);
     const auto again = m_targets.find(answer.target);
--- a/src/heathermoor/pool/target_holder.hpp
+++ b/src/heathermoor/pool/target_holder.hpp
@@ -32,6 +32,10 @@
     /// @param lapse Time by which they have ended: the new holder does not renew their lease.
     /// @param now Current time.
     virtual void target_taken(const target_id &target, const std::vector<job::task_ref> &runs, time_point lapse, time_point now) = 0;
+
+    /// @brief A target has restarted, perhaps as another kind.
+    /// @param target Target.
+    virtual void target_restarted(const target_id &target) = 0;
 };
 
 /// @brief Target that this host is to hold.
--- /dev/null
+++ b/tests/pool/experience.cpp
@@ -0,0 +1,90 @@
+#include "heathermoor/pool/experience.hpp"
+
+#include "heathermoor/core/log.hpp"
+#include "heathermoor/member/convert.hpp"
+#include "heathermoor/pool/run_estimate.hpp"
+#include "heathermoor/pool/speed_model.hpp"
+#include "support/pool_world.hpp"
+#include <catch2/catch.hpp>
+#include <limits>
+
+using namespace heathermoor;
+
+SCENARIO("A new scheduler starts with what the last one has learned", "[pool][experience]") {
+    const queue_id queue{"q"};
+    pool::run_estimate run_times;
+    pool::speed_model speeds;
+    for(int count = 0; count < 20; ++count) {
+        run_times.observe(queue, milliseconds{100}, milliseconds{400}, 1.0);
+        speeds.observe(target_id{"slow"}, milliseconds{800}, milliseconds{400});
+        speeds.observe(target_id{"fast"}, milliseconds{200}, milliseconds{400});
+    }
+    pool::experience learned{run_times.learned(), {}};
+    learned.targets.push_back(*speeds.learned(target_id{"slow"}));
+    learned.targets.push_back(*speeds.learned(target_id{"fast"}));
+
+    GIVEN("a successor that gets it as a message") {
+        const auto received = member::from_wire(member::to_wire(learned));
+        pool::run_estimate other_run_times;
+        pool::speed_model other_speeds;
+        for(const auto &one: received.queues) {
+            other_run_times.recall(one);
+        }
+        for(const auto &one: received.targets) {
+            other_speeds.recall(one);
+        }
+        THEN("it predicts the same") {
+            CHECK(other_run_times.predict(queue, milliseconds{100}) == run_times.predict(queue, milliseconds{100}));
+            CHECK(other_speeds.speed(target_id{"slow"}) == Approx(speeds.speed(target_id{"slow"})));
+            CHECK(other_speeds.speed(target_id{"fast"}) == Approx(speeds.speed(target_id{"fast"})));
+        }
+        THEN("it gets no worse by hearing it twice") {
+            other_speeds.recall(received.targets.front());
+            CHECK(other_speeds.speed(target_id{"fast"}) == Approx(speeds.speed(target_id{"fast"})));
+        }
+    }
+    GIVEN("figures that cannot be") {
+        learned.queues.front().mean_observed = std::numeric_limits<double>::quiet_NaN();
+        learned.targets.front().mean_log_ratio = std::numeric_limits<double>::infinity();
+        const auto received = member::from_wire(member::to_wire(learned));
+        CHECK(received.queues.empty());
+        CHECK(received.targets.size() == 1);
+    }
+}
+
+SCENARIO("Experience outlives the leader, and all hosts", "[pool][experience][world]") {
+    set_log_level(log_level::error);
+    test::pool_world world{{}};
+    world.run(seconds{2});
+    world.set_load(30);
+    world.run(seconds{8});
+    const auto first = world.leader();
+    REQUIRE(first < world.hosts());
+    const auto known = world.host(first).scheduler().learned().targets.size();
+    REQUIRE(known > 6);
+    REQUIRE_FALSE(world.host(first).scheduler().learned().queues.empty());
+    world.set_load(0);
+    world.run(seconds{2});
+
+    WHEN("the leader is killed") {
+        world.kill(first);
+        world.run(seconds{2});
+        const auto second = world.leader();
+        REQUIRE(second < world.hosts());
+        CHECK(world.host(second).scheduler().learned().targets.size() == known);
+    }
+    WHEN("all hosts are killed at once") {
+        for(std::size_t host = 0; host < world.hosts(); ++host) {
+            world.kill(host);
+        }
+        for(std::size_t host = 0; host < world.hosts(); ++host) {
+            world.start(host);
+        }
+        world.run(seconds{2});
+        const auto second = world.leader();
+        REQUIRE(second < world.hosts());
+        CHECK(world.host(second).scheduler().learned().targets.size() >= known / 2);
+        CHECK_FALSE(world.host(second).scheduler().learned().queues.empty());
+    }
+    CHECK(world.broken().empty());
+}
--- a/tests/support/pool_world.cpp
+++ b/tests/support/pool_world.cpp
@@ -134,7 +134,7 @@
     return result;
 }
 
-struct pool_world::host_state final : port::peer_port, pool::order_port, gateway::caller_port, port::clock_port {
+struct pool_world::host_state final : port::peer_port, pool::order_port, gateway::caller_port, member::experience_port, port::clock_port {
     host_state(pool_world &owner, std::size_t position) : world{owner}, index{position} {}
 
     void send(const host_id &to, wire::envelope message) override {
@@ -166,6 +166,8 @@
 
     void reply(gateway::request_token request, const job_id &, const job::answer &answer) override { world.reply(request, answer); }
 
+    void keep(const std::string &bytes) override { world.m_kept = bytes; }
+
     [[nodiscard]] time_point now() const override { return world.m_now; }
     [[nodiscard]] std::chrono::milliseconds unix_now() const override {
         return std::chrono::duration_cast<milliseconds>(world.m_now.time_since_epoch()) + clock_error;
@@ -280,11 +282,14 @@
     for(std::size_t other = 0; other < 2; ++other) {
         settings.seeds.emplace_back(std::to_string(other));
     }
-    state.host = std::make_unique<member::member>(settings, member::ports{state, state, state, state});
+    state.host = std::make_unique<member::member>(settings, member::ports{state, state, state, state, state});
     route::route_config config;
     config.version = config_version{1};
     (void)state.host->apply_config(std::move(config));
     refresh_catalog(host);
+    if(!m_kept.empty()) {
+        state.host->recall(m_kept);
+    }
     tick(host, state.process);
 }
 
--- a/tests/support/pool_world.hpp
+++ b/tests/support/pool_world.hpp
@@ -181,6 +181,8 @@
     std::map<std::size_t, std::vector<waiter>> m_waiters;
     std::uint64_t m_next_waiter{};
     std::uint64_t m_next_offset{1};
+    /// Experience in the platform's store.
+    std::string m_kept;
 };
 
 } // namespace heathermoor::test
