Let long tasks wait for a fast target where a slow one would miss their deadline

Where the predicted run would miss the deadline on the targets that have room, and a faster one would make it 60 ms from now, the task waits.

--- a/src/heathermoor/placement/dispatcher.hpp
+++ b/src/heathermoor/placement/dispatcher.hpp
@@ -29,6 +29,7 @@
     incarnation process{};
     job_handle job{};
 
+    // NOLINTNEXTLINE(modernize-use-nullptr): the linter takes the defaulted comparison for a null pointer
     friend auto operator<=>(const task_origin &, const task_origin &) = default;
 };
 
--- a/src/heathermoor/pool/scheduler.hpp
+++ b/src/heathermoor/pool/scheduler.hpp
@@ -237,6 +237,14 @@
         double speed{1.0};
     };
 
+    /// @brief Speeds that a job asks of its targets.
+    struct speed_range {
+        /// Meets the objective; more is not needed.
+        double wanted{};
+        /// With less the deadline would be missed; waiting for another target is better.
+        double bearable{};
+    };
+
     /// @brief How well a target suits a task.
     struct fit {
         double speed{1.0};
@@ -265,14 +273,16 @@
     [[nodiscard]] duration objective(const open_job &job) const;
     [[nodiscard]] std::vector<open_job *> waiting_in_order(time_point now);
     [[nodiscard]] std::vector<candidate> candidates(time_point now);
-    [[nodiscard]] candidate *choose(const open_job &job, const task_slot &slot, double least_speed, std::vector<candidate> &room) const;
+    [[nodiscard]] candidate *choose(const open_job &job, const task_slot &slot, const speed_range &speeds,
+                                    std::vector<candidate> &room) const;
     [[nodiscard]] static bool suits(const open_job &job, const task_slot &slot, const candidate &one);
     [[nodiscard]] static bool better(const fit &left, const fit &right, double least_speed) noexcept;
     [[nodiscard]] double needed_speed(const open_job &job, time_point now) const;
+    [[nodiscard]] double bearable_speed(const open_job &job, time_point now) const;
     [[nodiscard]] bool usable(const held_target &target, time_point now);
     [[nodiscard]] duration longest_run(const open_job &job) const;
     [[nodiscard]] double task_places(const resources &need, const service_id &service) const;
-    void place_job(open_job &job, double least_speed, std::vector<candidate> &room, time_point now);
+    void place_job(open_job &job, const speed_range &speeds, std::vector<candidate> &room, time_point now);
     [[nodiscard]] static bool plentiful(const std::vector<candidate> &room);
     void refuse_hopeless(time_point now);
     void end_hopeless_runs(time_point now);
--- a/src/heathermoor/pool/scheduler_placing.cpp
+++ b/src/heathermoor/pool/scheduler_placing.cpp
@@ -27,6 +27,9 @@
 /// Margin on the speed that a job needs to meet its objective.
 constexpr double speed_margin = 1.25;
 
+/// Time within which room on a fast target is to be expected, while work ends all the time.
+constexpr milliseconds fast_room_time{60};
+
 } // namespace internal
 
 bool scheduler::step_ready(const open_job &job, std::uint32_t step) const {
@@ -84,15 +87,24 @@
     return left_ms > 0 ? to_ms(longest_run(job)) * internal::speed_margin / left_ms : 0;
 }
 
-scheduler::candidate *scheduler::choose(const open_job &job, const task_slot &slot, double least_speed,
+double scheduler::bearable_speed(const open_job &job, time_point now) const {
+    const auto run_ms = to_ms(expected_run(job));
+    const auto left_ms = to_ms(job.deadline - now);
+    const auto needed = left_ms > 0 ? run_ms / left_ms : 0;
+    const bool worth_waiting = to_ms(job.deadline - now - internal::fast_room_time) * m_fastest > run_ms;
+    return worth_waiting ? std::min(needed, m_fastest * (1 - internal::equal_speed)) : 0;
+}
+
+scheduler::candidate *scheduler::choose(const open_job &job, const task_slot &slot, const speed_range &speeds,
                                         std::vector<candidate> &room) const {
     const auto &step = job.job.steps[slot.step];
+    const auto least_speed = speeds.wanted;
     candidate *best = nullptr;
     double best_speed = 0;
     std::int64_t best_left = 0;
     for(auto &one: room) {
         if(one.target->entry.service != job.queue.service || !step.need.fits(one.free) ||
-           one.speed < std::min(slot.least_speed, m_fastest) || !suits(job, slot, one)) {
+           one.speed < std::max(speeds.bearable, std::min(slot.least_speed, m_fastest)) || !suits(job, slot, one)) {
             continue;
         }
         const auto &labels = one.target->entry.labels;
@@ -136,12 +148,12 @@
     return left_enough ? ratio < 1 : ratio > 1;
 }
 
-void scheduler::place_job(open_job &job, double least_speed, std::vector<candidate> &room, time_point now) {
+void scheduler::place_job(open_job &job, const speed_range &speeds, std::vector<candidate> &room, time_point now) {
     for(auto &slot: job.slots) {
         if(slot.state != slot_state::waiting || !step_ready(job, slot.step)) {
             continue;
         }
-        auto *chosen = choose(job, slot, least_speed, room);
+        auto *chosen = choose(job, slot, speeds, room);
         if(chosen == nullptr) {
             return;
         }
@@ -203,7 +215,8 @@
     }
     const bool fastest = plentiful(room);
     for(auto *job: waiting_in_order(now)) {
-        place_job(*job, fastest ? std::numeric_limits<double>::infinity() : needed_speed(*job, now), room, now);
+        const auto wanted = fastest ? std::numeric_limits<double>::infinity() : needed_speed(*job, now);
+        place_job(*job, {wanted, bearable_speed(*job, now)}, room, now);
         std::erase_if(room, [](const candidate &one) { return one.free.cpu_millicores <= 0; });
         if(room.empty()) {
             break;
--- a/tests/pool/scheduler.cpp
+++ b/tests/pool/scheduler.cpp
@@ -80,10 +80,11 @@
         list.push_back({end_number{list.size() + 1}, task, run.number, how});
     }
 
-    void submit(const std::string &id, const char *from, std::uint32_t tasks, std::uint32_t priority = 0) {
+    void submit(const std::string &id, const char *from, std::uint32_t tasks, std::uint32_t priority = 0,
+                milliseconds estimate = declared) {
         submission one;
         one.job.id = job_id{id};
-        one.job.steps.push_back({tasks, {task_cpu, 10, 0}, declared, {}, {}, {}, 0});
+        one.job.steps.push_back({tasks, {task_cpu, 10, 0}, estimate, {}, {}, {}, 0});
         one.queue.name = queue_id{"q" + std::to_string(priority)};
         one.queue.service = service_id{"s"};
         one.queue.priority = priority;
@@ -96,6 +97,31 @@
         work.place(now);
     }
 
+    /// Lets target t0 end tasks three times as fast as all others, until that is known.
+    void learn_speeds() {
+        for(int index = 0; index < 30; ++index) {
+            submit("warm" + std::to_string(index), "a", 4);
+            answer_starts();
+            const auto runs = running;
+            for(const auto &[task, run]: runs) {
+                if(run.target == target_id{"t0"}) {
+                    end(task, lease::run_end::done);
+                }
+            }
+            now += milliseconds{100};
+            answer_reports();
+            now += milliseconds{200};
+            const auto rest = running;
+            for(const auto &[task, run]: rest) {
+                end(task, lease::run_end::done);
+            }
+            tick();
+            answer_reports();
+        }
+        all_starts.clear();
+        starts.clear();
+    }
+
     [[nodiscard]] lease::target_time clock() const {
         return lease::target_time{std::chrono::duration_cast<milliseconds>(now.time_since_epoch()).count()};
     }
@@ -192,26 +218,7 @@
     hand_driven bench;
     bench.add_targets(2);
     GIVEN("one target that is known to be three times as fast") {
-        for(int index = 0; index < 30; ++index) {
-            const auto id = "warm" + std::to_string(index);
-            bench.submit(id, "a", 4);
-            bench.answer_starts();
-            const auto runs = bench.running;
-            for(const auto &[task, run]: runs) {
-                if(run.target == target_id{"t0"}) {
-                    bench.end(task, lease::run_end::done);
-                }
-            }
-            bench.now += milliseconds{100};
-            bench.answer_reports();
-            bench.now += milliseconds{200};
-            const auto rest = bench.running;
-            for(const auto &[task, run]: rest) {
-                bench.end(task, lease::run_end::done);
-            }
-            bench.tick();
-            bench.answer_reports();
-        }
+        bench.learn_speeds();
         bench.submit("x", "a", 4);
         bench.answer_starts();
         job::task_ref slow;
@@ -244,6 +251,43 @@
     }
 }
 
+SCENARIO("Long work among short: it waits for a fast target where a slow one would miss its deadline", "[pool]") {
+    constexpr milliseconds too_long_for_slow{1'000};
+    hand_driven bench;
+    bench.add_targets(2);
+    bench.learn_speeds();
+    bench.submit("short", "a", 2);
+    REQUIRE(bench.starts.size() == 2);
+    REQUIRE(bench.starts.front().to.target == target_id{"t0"});
+    bench.answer_starts();
+
+    GIVEN("a long task while only the slow target has room") {
+        bench.submit("long", "a", 1, 2, too_long_for_slow);
+        CHECK(bench.starts.empty());
+        THEN("it starts on the fast one as soon as that has room") {
+            bench.end({job_id{"short"}, 0, 0}, lease::run_end::done);
+            bench.now += milliseconds{50};
+            bench.answer_reports();
+            REQUIRE(bench.starts.size() == 1);
+            CHECK(bench.starts.front().to.target == target_id{"t0"});
+        }
+        THEN("it starts on the slow one if there is no other any more") {
+            bench.leaving.insert(target_id{"t0"});
+            bench.now += milliseconds{50};
+            bench.tick();
+            bench.answer_reports();
+            bench.tick();
+            REQUIRE(bench.starts.size() == 1);
+            CHECK(bench.starts.front().to.target == target_id{"t1"});
+        }
+    }
+    GIVEN("a short task, which the slow target serves well") {
+        bench.submit("other", "a", 1);
+        REQUIRE(bench.starts.size() == 1);
+        CHECK(bench.starts.front().to.target == target_id{"t1"});
+    }
+}
+
 SCENARIO("A task that fails is tried as often as its queue allows", "[pool]") {
     hand_driven bench;
     bench.add_targets(1);
