--- a/scripts/demo.sh
+++ b/scripts/demo.sh
@@ -1,6 +1,7 @@
 #!/usr/bin/env bash
 # Starts the stand-ins and three entry hosts in two failure domains on loopback,
-# applies both example deployments, sends load and kills one host on the way.
+# applies both example deployments, sends load and kills one host on the way; then
+# the same on the users' platform, with stand-ins of its store and targets.
 set -euo pipefail
 cd "$(dirname "$0")/.."
 bin=${BUILD_DIR:-build}
@@ -47,4 +48,7 @@
 status=0
 "$bin/heathermoor-demo" --platform "$platform" --hosts "$(IFS=,; echo "${hosts[*]}")" --kill-pid "$victim" "$@" || status=$?
 echo "logs: $logs"
+echo "on the users' platform:"
+mkdir "$logs/platform"
+"$bin/heathermoor-platform-demo" --program "$bin/heathermoor-platform" --logs "$logs/platform" || status=$?
 exit $status
--- a/src/heathermoor/adapter/http_client.cpp
+++ b/src/heathermoor/adapter/http_client.cpp
@@ -23,7 +23,7 @@
 constexpr int user_timeout_ms = 3'000;
 
 [[nodiscard]] std::string format_request(const http_call &call) {
-    auto text = fmt::format("{} {} HTTP/1.1\r\nHost: {}\r\n", call.method, call.target, call.address);
+    auto text = fmt::format("{} {} HTTP/1.1\r\nHost: {}\r\n", call.method, call.target, call.host.empty() ? call.address : call.host);
     for(const auto &[name, value]: call.headers) {
         text += fmt::format("{}: {}\r\n", name, value);
     }
--- a/src/heathermoor/adapter/http_client.hpp
+++ b/src/heathermoor/adapter/http_client.hpp
@@ -26,6 +26,8 @@
 struct http_call {
     /// IP address and port.
     std::string address;
+    /// Host that the call asks for; the address if empty.
+    std::string host;
     /// Calls of one lane share connections, one call at a time on each.
     std::string lane;
     std::string method;
--- a/src/heathermoor/job/job.hpp
+++ b/src/heathermoor/job/job.hpp
@@ -60,6 +60,7 @@
     std::uint32_t step{};
     std::uint32_t index{};
 
+    // NOLINTNEXTLINE(modernize-use-nullptr): the linter takes the defaulted comparison for a null pointer
     friend auto operator<=>(const task_ref &, const task_ref &) = default;
 };
 
--- /dev/null
+++ b/tests/platform/end_to_end.cpp
@@ -0,0 +1,55 @@
+#include "standin/deployment.hpp"
+
+#include <catch2/catch.hpp>
+
+using namespace heathermoor;
+using platform::standin::deployment;
+
+namespace {
+
+constexpr milliseconds patience{30'000};
+
+} // namespace
+
+SCENARIO("The real program serves callers through the loss and the stop of hosts", "[platform][end-to-end]") {
+    platform::standin::deployment_options options;
+    options.program = HEATHERMOOR_PLATFORM_PROGRAM;
+    deployment all{options};
+    for(std::size_t host = 0; host < all.hosts(); ++host) {
+        all.start(host);
+    }
+    REQUIRE(all.wait_ready(all.hosts(), patience));
+    all.run_for(milliseconds{1'000});
+    all.set_load(30);
+    all.run_for(milliseconds{1'500});
+
+    GIVEN("a host that is killed and started again") {
+        all.kill(0);
+        all.run_for(milliseconds{1'500});
+        all.start(0);
+        all.run_for(milliseconds{1'500});
+    }
+    GIVEN("a host that stops gracefully") {
+        all.terminate(1);
+        all.run_for(milliseconds{2'000});
+        all.finish(patience);
+        THEN("its process ends by itself") {
+            for(int turn = 0; turn < 100 && all.running(1); ++turn) {
+                all.run_for(milliseconds{100});
+            }
+            CHECK_FALSE(all.running(1));
+        }
+    }
+    GIVEN("a store that is away") {
+        all.store().set_away(true);
+        all.run_for(milliseconds{1'500});
+        all.store().set_away(false);
+    }
+    all.finish(patience);
+    for(const auto &line: all.broken()) {
+        UNSCOPED_INFO(line);
+    }
+    CHECK(all.broken().empty());
+    CHECK(all.counts().open == 0);
+    CHECK(all.counts().completed > 0);
+}
--- a/tests/support/pool_world.cpp
+++ b/tests/support/pool_world.cpp
@@ -12,128 +12,13 @@
 constexpr duration latency = milliseconds{1};
 constexpr duration order_timeout = milliseconds{200};
 constexpr duration wait_slack = milliseconds{150};
-constexpr duration longest_lease = milliseconds{1'000};
 constexpr duration tick_interval = milliseconds{25};
 constexpr duration resend_time = milliseconds{1'300};
 constexpr duration caller_limit = milliseconds{1'500};
 constexpr duration step = milliseconds{1};
-constexpr duration stop_time = milliseconds{30};
-constexpr double clock_rate = 0.985;
 
 } // namespace
 
-lease::target_time model_target::clock(time_point now) const {
-    return lease::target_time{static_cast<std::int64_t>(to_ms(now - m_booted) * clock_rate)};
-}
-
-void model_target::extend(std::optional<lease::target_time> until, time_point now) {
-    if(until) {
-        const auto longest = clock(now) + milliseconds{static_cast<std::int64_t>(to_ms(longest_lease))};
-        m_until = std::max(m_until, std::min(*until, longest));
-    }
-}
-
-resources model_target::used() const {
-    resources sum;
-    for(const auto &[task, entry]: m_runs) {
-        sum += entry.need;
-    }
-    return sum;
-}
-
-void model_target::end(const job::task_ref &task, lease::run_end how) {
-    log_event(log_level::debug, "world", "ended",
-              {{"job", task.job}, {"index", task.index}, {"target", m_entry.id}, {"how", lease::name_of(how)}});
-    const auto found = m_runs.find(task);
-    m_ended.push_back({end_number{m_next_end++}, task, found->second.number, how});
-    auto &barred = m_barred[task];
-    barred = std::max(barred, found->second.number);
-    m_runs.erase(found);
-}
-
-void model_target::advance(time_point now) {
-    std::vector<std::pair<job::task_ref, lease::run_end>> over;
-    for(const auto &[task, entry]: m_runs) {
-        if(clock(now) > m_until) {
-            over.emplace_back(task, lease::run_end::lapsed);
-        } else if(now >= entry.ends) {
-            over.emplace_back(task, entry.fails ? lease::run_end::failed : lease::run_end::done);
-        }
-    }
-    for(const auto &[task, how]: over) {
-        end(task, how);
-    }
-}
-
-void model_target::reboot(time_point now) {
-    m_booted = now;
-    m_fence = {};
-    m_until = {};
-    m_runs.clear();
-    m_barred.clear();
-    m_ended.clear();
-    m_next_end = 1;
-}
-
-lease::order_outcome model_target::start(const pool::start_order &order, const resources &need, duration work, bool fails, time_point now) {
-    if(order.to.token < m_fence) {
-        return lease::order_outcome::fenced;
-    }
-    m_fence = order.to.token;
-    const auto running = m_runs.find(order.task);
-    if(running != m_runs.end() && running->second.number == order.run) {
-        extend(order.until, now);
-        return lease::order_outcome::done;
-    }
-    const auto barred = m_barred.find(order.task);
-    if((barred != m_barred.end() && order.run <= barred->second) || running != m_runs.end()) {
-        extend(order.until, now);
-        return lease::order_outcome::old_run;
-    }
-    if(order.until <= clock(now)) {
-        return lease::order_outcome::too_late;
-    }
-    extend(order.until, now);
-    m_runs[order.task] = {order.run, need, now, now + from_ms(to_ms(work) / m_speed), fails};
-    return lease::order_outcome::done;
-}
-
-lease::order_outcome model_target::stop(const pool::stop_order &order, time_point now) {
-    if(order.to.token < m_fence) {
-        return lease::order_outcome::fenced;
-    }
-    m_fence = order.to.token;
-    const auto running = m_runs.find(order.task);
-    if(running != m_runs.end() && running->second.number <= order.run) {
-        running->second.ends = std::min(running->second.ends, now + stop_time);
-    }
-    auto &barred = m_barred[order.task];
-    barred = std::max(barred, order.run);
-    return lease::order_outcome::done;
-}
-
-lease::order_outcome model_target::hold(const pool::report_order &order, time_point now) {
-    if(order.to.token < m_fence) {
-        return lease::order_outcome::fenced;
-    }
-    m_fence = order.to.token;
-    extend(order.until, now);
-    std::erase_if(m_ended, [&](const lease::reported_end &one) { return one.number <= order.last_end; });
-    return lease::order_outcome::done;
-}
-
-lease::target_report model_target::report(time_point now) const {
-    lease::target_report result;
-    result.boot = target_boot{m_booted.time_since_epoch().count()};
-    result.clock = clock(now);
-    for(const auto &[task, entry]: m_runs) {
-        const auto share = to_ms(now - entry.started) / std::max(1.0, to_ms(entry.ends - entry.started));
-        result.running.push_back({task, entry.number, static_cast<std::int64_t>(share * 100)});
-    }
-    result.ended = m_ended;
-    return result;
-}
-
 struct pool_world::host_state final : port::peer_port, pool::order_port, gateway::caller_port, member::experience_port, port::clock_port {
     host_state(pool_world &owner, std::size_t position) : world{owner}, index{position} {}
 
--- a/tests/support/pool_world.hpp
+++ b/tests/support/pool_world.hpp
@@ -1,6 +1,7 @@
 #pragma once
 
 #include "heathermoor/member/member.hpp"
+#include "model/target.hpp"
 #include <deque>
 #include <functional>
 #include <map>
@@ -13,48 +14,6 @@
 
 namespace heathermoor::test {
 
-/// @brief Worker of the platform as a model: fence, leases on its own clock, boots, late orders.
-class model_target {
-  public:
-    struct run {
-        run_number number{};
-        resources need;
-        time_point started;
-        time_point ends;
-        bool fails{};
-    };
-
-    model_target(catalog::target_entry entry, double speed) : m_entry{std::move(entry)}, m_speed{speed} {}
-
-    [[nodiscard]] const catalog::target_entry &entry() const noexcept { return m_entry; }
-    [[nodiscard]] lease::target_time clock(time_point now) const;
-    [[nodiscard]] lease::order_outcome start(const pool::start_order &order, const resources &need, duration work, bool fails,
-                                             time_point now);
-    [[nodiscard]] lease::order_outcome stop(const pool::stop_order &order, time_point now);
-    [[nodiscard]] lease::order_outcome hold(const pool::report_order &order, time_point now);
-    [[nodiscard]] lease::target_report report(time_point now) const;
-    [[nodiscard]] time_point boot() const noexcept { return m_booted; }
-    [[nodiscard]] bool has_ends() const noexcept { return !m_ended.empty(); }
-    [[nodiscard]] const std::map<job::task_ref, run> &runs() const noexcept { return m_runs; }
-    [[nodiscard]] resources used() const;
-    void advance(time_point now);
-    void reboot(time_point now);
-
-  private:
-    void end(const job::task_ref &task, lease::run_end how);
-    void extend(std::optional<lease::target_time> until, time_point now);
-
-    catalog::target_entry m_entry;
-    double m_speed;
-    time_point m_booted{};
-    fencing_token m_fence{};
-    lease::target_time m_until{};
-    std::map<job::task_ref, run> m_runs;
-    std::map<job::task_ref, run_number> m_barred;
-    std::vector<lease::reported_end> m_ended;
-    std::uint64_t m_next_end{1};
-};
-
 /// @brief Faults of the network and the targets in a world.
 struct world_faults {
     /// Share of the orders that get no answer and are carried out seconds later.
@@ -159,7 +118,7 @@
     std::priority_queue<event> m_events;
     std::uint64_t m_next_event{};
     std::vector<std::unique_ptr<host_state>> m_hosts;
-    std::vector<model_target> m_targets;
+    std::vector<model::target> m_targets;
     std::vector<bool> m_unlisted;
     std::map<target_id, std::size_t> m_target_index;
     std::set<std::uint32_t> m_cut_domains;
