Serve metrics, name the caller's request in the logs, explain a request from logs

Cause: a complaint names a request, and no log line held its name; counters were in a line every ten seconds only. `heathermoorctl explain ID LOG...` joins the lines of all hosts by request and job, adds what the hosts came to believe meanwhile, marks the deciding line and says the cause; `breakdown` counts how each queue's jobs ended. `validate` calls an empty declaration an error.

Tests: recorded logs of a refused, a lost and a late request, lines that are no events, the metrics of running hosts.

--- a/Makefile
+++ b/Makefile
@@ -2,7 +2,7 @@
 JOBS ?= $(shell nproc)
 PACKAGES = cmake ninja-build g++ pkg-config clang-format clang-tidy libasio-dev libzmq3-dev cppzmq-dev libprotobuf-dev \
   protobuf-compiler libcpp-httplib-dev libcli11-dev libfmt-dev catch2 libboost-dev libyaml-cpp-dev nlohmann-json3-dev libxxhash-dev \
-  libssl-dev libbenchmark-dev gnuplot-nox libhttp-parser-dev libspdlog-dev
+  libssl-dev libbenchmark-dev gnuplot-nox libhttp-parser-dev libspdlog-dev prometheus-cpp-dev
 
 .PHONY: all packages build test check format demo bench sanitize proto
 
--- a/daemon/ctl.cpp
+++ b/daemon/ctl.cpp
@@ -1,6 +1,7 @@
 #include "heathermoor/adapter/platform_client.hpp"
 #include "heathermoor/config/config_state.hpp"
 #include "heathermoor/core/log.hpp"
+#include "trace_commands.hpp"
 #include <CLI/CLI.hpp>
 #include <algorithm>
 #include <chrono>
@@ -51,6 +52,7 @@
     std::string job_file;
     std::string customer;
     std::string submission;
+    std::string request;
     std::size_t count{1};
     int wait_ms{5000};
 };
@@ -126,6 +128,9 @@
     std::vector<config::diagnostic> diagnostics;
     const auto items = index_items(read_files(in, diagnostics), diagnostics);
     (void)config::resolve(items, diagnostics);
+    if(items.empty() && diagnostics.empty()) {
+        diagnostics.push_back({config::fault::syntax, in.files.front(), 1, 1, "", "at least one declaration"});
+    }
     const auto code = print_diagnostics(in, diagnostics);
     if(code == exit_ok && !as_json(in)) {
         fmt::print("valid items={}\n", items.size());
@@ -511,6 +516,15 @@
     ids->add_option("--count", in.count, "Number of ids")->check(CLI::Range(1, 10000))->capture_default_str();
     with_host(*ids, in);
 
+    auto *story = add("explain", "Tell from the hosts' logs what became of a request, and why",
+                      [&] { return heathermoor::ctl::explain_request(in.request, in.files); });
+    story->add_option("request", in.request, "Identifier of the request or of its job")->required();
+    story->add_option("logs", in.files, "Output of all hosts; - for standard input")->required();
+
+    auto *table = add("breakdown", "Count from the hosts' logs how the jobs of each queue ended",
+                      [&] { return heathermoor::ctl::print_breakdown(in.files); });
+    table->add_option("logs", in.files, "Output of all hosts; - for standard input")->required();
+
     try {
         app.parse(argc, argv);
     } catch(const CLI::Success &help) {
--- /dev/null
+++ b/src/heathermoor/adapter/service_metrics.cpp
@@ -0,0 +1,97 @@
+#include "heathermoor/adapter/service_metrics.hpp"
+
+#include <prometheus/counter.h>
+#include <prometheus/gauge.h>
+#include <prometheus/histogram.h>
+#include <prometheus/registry.h>
+#include <prometheus/text_serializer.h>
+
+namespace heathermoor::adapter {
+
+namespace internal {
+
+/// Upper bounds of the histograms' buckets, in seconds: around the callers' objectives and limits.
+const prometheus::Histogram::BucketBoundaries latency_bounds{0.01, 0.025, 0.05, 0.1, 0.15, 0.25, 0.4, 0.6, 0.8, 1.0, 1.25, 1.5, 2.5, 5.0};
+
+[[nodiscard]] double to_seconds(duration value) noexcept {
+    return std::chrono::duration<double>(value).count();
+}
+
+/// Raises a counter to a total that is counted elsewhere.
+void raise_to(prometheus::Counter &counter, std::uint64_t total) {
+    const auto missing = static_cast<double>(total) - counter.Value();
+    if(missing > 0) {
+        counter.Increment(missing);
+    }
+}
+
+} // namespace internal
+
+struct service_metrics::families {
+    prometheus::Registry registry;
+    prometheus::Family<prometheus::Histogram> &waits =
+        prometheus::BuildHistogram().Name("heathermoor_job_seconds").Help("Time from a request to its answer.").Register(registry);
+    prometheus::Family<prometheus::Counter> &rejections = prometheus::BuildCounter()
+                                                              .Name("heathermoor_requests_rejected_total")
+                                                              .Help("Requests turned away before they became jobs.")
+                                                              .Register(registry);
+
+    prometheus::Gauge &gauge(const char *name, const char *help) {
+        return prometheus::BuildGauge().Name(name).Help(help).Register(registry).Add({});
+    }
+    prometheus::Counter &counter(const char *name, const char *help) {
+        return prometheus::BuildCounter().Name(name).Help(help).Register(registry).Add({});
+    }
+
+    prometheus::Gauge &leading = gauge("heathermoor_leading", "1 while the host schedules the pool.");
+    prometheus::Gauge &hosts_heard = gauge("heathermoor_hosts_heard", "Hosts that are heard, the own one included.");
+    prometheus::Gauge &open_jobs = gauge("heathermoor_open_jobs", "Jobs of the host's callers that are not answered yet.");
+    prometheus::Gauge &scheduled_jobs = gauge("heathermoor_scheduled_jobs", "Jobs in the hands of the host's scheduler.");
+    prometheus::Gauge &targets_known = gauge("heathermoor_targets_known", "Targets on the list.");
+    prometheus::Gauge &config_version = gauge("heathermoor_config_version", "Version of the configuration in force.");
+    prometheus::Gauge &store_silence = gauge("heathermoor_store_silence_seconds", "Time since the platform's store last answered.");
+    prometheus::Counter &task_starts = counter("heathermoor_task_starts_total", "Starts of tasks that were ordered.");
+    prometheus::Counter &runs_failed = counter("heathermoor_runs_failed_total", "Runs that ended as failed.");
+    prometheus::Counter &runs_lost = counter("heathermoor_runs_lost_total", "Runs whose lease lapsed or whose target restarted.");
+    prometheus::Counter &target_claims = counter("heathermoor_target_claims_total", "Claims of targets.");
+    prometheus::Counter &calls = counter("heathermoor_calls_total", "Calls to targets and the store.");
+    prometheus::Counter &connections = counter("heathermoor_connections_total", "Connections made to targets and the store.");
+    prometheus::Counter &lines_lost = counter("heathermoor_log_lines_lost_total", "Log lines lost because the queue was full.");
+};
+
+service_metrics::service_metrics() : m_families{std::make_unique<families>()} {}
+
+service_metrics::~service_metrics() = default;
+
+void service_metrics::job_answered(job::outcome result, duration waited) {
+    m_families->waits.Add({{"outcome", std::string{job::name_of(result)}}}, internal::latency_bounds).Observe(internal::to_seconds(waited));
+}
+
+void service_metrics::request_rejected(errc reason) {
+    m_families->rejections.Add({{"reason", std::string{code_name(reason)}}}).Increment();
+}
+
+void service_metrics::caller_left(duration waited) {
+    m_families->waits.Add({{"outcome", "abandoned"}}, internal::latency_bounds).Observe(internal::to_seconds(waited));
+}
+
+std::string service_metrics::text(const service_state &state) {
+    auto &all = *m_families;
+    all.leading.Set(state.leading ? 1 : 0);
+    all.hosts_heard.Set(static_cast<double>(state.hosts_heard));
+    all.open_jobs.Set(static_cast<double>(state.open_jobs));
+    all.scheduled_jobs.Set(static_cast<double>(state.scheduled_jobs));
+    all.targets_known.Set(static_cast<double>(state.targets_known));
+    all.config_version.Set(static_cast<double>(state.config_version));
+    all.store_silence.Set(internal::to_seconds(state.store_silence));
+    internal::raise_to(all.task_starts, state.task_starts);
+    internal::raise_to(all.runs_failed, state.runs_failed);
+    internal::raise_to(all.runs_lost, state.runs_lost);
+    internal::raise_to(all.target_claims, state.target_claims);
+    internal::raise_to(all.calls, state.calls);
+    internal::raise_to(all.connections, state.connections_made);
+    internal::raise_to(all.lines_lost, state.log_lines_lost);
+    return prometheus::TextSerializer{}.Serialize(all.registry.Collect());
+}
+
+} // namespace heathermoor::adapter
--- a/src/heathermoor/member/member.hpp
+++ b/src/heathermoor/member/member.hpp
@@ -148,6 +148,14 @@
     /// @return Leader and term.
     [[nodiscard]] const std::optional<gateway::leader_ref> &leader() const noexcept { return m_leader; }
 
+    /// @brief Hosts that are heard.
+    /// @return Number, this host included.
+    [[nodiscard]] std::uint32_t hosts_heard() const noexcept { return m_election.self().hears; }
+
+    /// @brief When the platform's store last answered this host.
+    /// @return Time; the clock's start if it never has.
+    [[nodiscard]] time_point store_answered_at() const noexcept { return m_store_answered; }
+
     /// @brief Jobs of a queue of which nothing has started.
     /// @param queue Queue.
     /// @return Number, up to two heartbeats old.
--- /dev/null
+++ b/src/heathermoor/trace/story.cpp
@@ -0,0 +1,131 @@
+#include "heathermoor/trace/story.hpp"
+
+#include <algorithm>
+#include <array>
+#include <fmt/format.h>
+#include <set>
+
+namespace heathermoor::trace {
+
+namespace internal {
+
+/// Events that change what a host believes and may decide over many jobs.
+constexpr std::array belief_events{"lead_taken",       "lead_given_up",    "leader_changed",    "scope_changed",    "target_taken",
+                                   "target_restarted", "config_in_force",  "entry_host_silent", "started",          "stopping",
+                                   "stopped",          "settings_invalid", "config_unreadable", "report_unreadable"};
+
+/// Events that end a job or request, the closest to the cause first.
+constexpr std::array deciding_events{"request_rejected", "job_answered", "job_ended", "request_abandoned", "request_answered"};
+
+struct reason_text {
+    std::string_view reason;
+    std::string_view text;
+};
+
+constexpr std::array reasons{
+    reason_text{"overloaded", "the work ahead of it exceeded the time that it could wait, so it was refused before anything ran"},
+    reason_text{"deadline_unreachable",
+                "a run was so slow that its caller's limit could not be met on any target; the job was ended early"},
+    reason_text{"deadline_exceeded", "its caller's limit passed before all tasks had ended"},
+    reason_text{"leader_lost", "it was handed to an earlier leader, and a target that may have run it could not be asked in time"},
+    reason_text{"no_leader", "no host scheduled the pool in time"},
+    reason_text{"attempts_exhausted", "a task failed as often as its queue allows"},
+    reason_text{"cancelled", "its caller cancelled it"},
+    reason_text{"route_not_found", "the configuration in force at that host had no such route"},
+    reason_text{"not_configured", "the host had no configuration yet"},
+    reason_text{"not_supported", "it asked for a kind of job that is not offered"},
+    reason_text{"malformed_request", "the request was not well-formed"},
+};
+
+[[nodiscard]] bool is_belief(const record &line) {
+    return std::find(belief_events.begin(), belief_events.end(), line.event) != belief_events.end();
+}
+
+[[nodiscard]] bool names(const record &line, const std::set<std::string, std::less<>> &ids) {
+    return ids.contains(line.value("job")) || ids.contains(line.value("request"));
+}
+
+/// Identifier of a request and of its job: each line that has both joins them.
+[[nodiscard]] std::set<std::string, std::less<>> joined_ids(const std::vector<record> &records, std::string_view id) {
+    std::set<std::string, std::less<>> ids{std::string{id}};
+    for(const auto &line: records) {
+        if(line.value("request") == id && !line.value("job").empty()) {
+            ids.emplace(line.value("job"));
+        }
+    }
+    return ids;
+}
+
+void find_deciding_line(story &out) {
+    out.deciding = out.lines.size();
+    for(const auto *event: deciding_events) {
+        for(std::size_t index = 0; index < out.lines.size(); ++index) {
+            if(out.lines[index].event == event) {
+                out.deciding = index;
+            }
+        }
+        if(out.decided()) {
+            return;
+        }
+    }
+}
+
+[[nodiscard]] std::string describe(const story &told) {
+    if(told.lines.empty()) {
+        return "no line names it: the request reached no host, or its host's output is missing";
+    }
+    if(!told.decided()) {
+        return "no line says how it ended: the host that had it was lost or cut off, or its output is missing";
+    }
+    const auto &line = told.lines[told.deciding];
+    if(line.event == "request_abandoned") {
+        return fmt::format("its caller left after {} ms, before it was answered", line.value("waited_ms"));
+    }
+    if(line.value("outcome") == "completed") {
+        const auto late = line.number("age_ms") > line.number("objective_ms") && line.number("objective_ms") > 0;
+        return late ? fmt::format("it was completed late: {} ms for an objective of {} ms; its last task started after {} ms",
+                                  line.value("age_ms"), line.value("objective_ms"), line.value("last_start_ms"))
+                    : std::string{"it was completed in time"};
+    }
+    const auto reason = line.value("reason");
+    const auto found = std::find_if(reasons.begin(), reasons.end(), [&](const reason_text &one) { return one.reason == reason; });
+    return found == reasons.end() ? std::string{reason} : std::string{found->text};
+}
+
+} // namespace internal
+
+story explain(const std::vector<record> &records, std::string_view id) {
+    const auto ids = internal::joined_ids(records, id);
+    story result;
+    std::string first;
+    std::string last;
+    for(const auto &line: records) {
+        if(internal::names(line, ids)) {
+            first = first.empty() ? line.time : std::min(first, line.time);
+            last = std::max(last, line.time);
+        }
+    }
+    for(const auto &line: records) {
+        const bool during = line.time >= first && line.time <= last;
+        if(internal::names(line, ids) || (!first.empty() && during && internal::is_belief(line))) {
+            result.lines.push_back(line);
+        }
+    }
+    std::stable_sort(result.lines.begin(), result.lines.end(),
+                     [](const record &left, const record &right) { return left.time < right.time; });
+    internal::find_deciding_line(result);
+    result.cause = internal::describe(result);
+    return result;
+}
+
+std::string to_string(const record &line) {
+    auto text = fmt::format("{} {} {}.{}", line.time, line.host, line.part, line.event);
+    for(const auto &one: line.fields) {
+        if(one.name != "level") {
+            text += fmt::format(" {}={}", one.name, one.value);
+        }
+    }
+    return text;
+}
+
+} // namespace heathermoor::trace
--- a/tests/platform/end_to_end.cpp
+++ b/tests/platform/end_to_end.cpp
@@ -40,6 +40,16 @@
             CHECK_FALSE(all.running(1));
         }
     }
+    GIVEN("an operator who looks at the metrics") {
+        std::string all_pages;
+        for(std::size_t host = 0; host < all.hosts(); ++host) {
+            all_pages += all.fetch_metrics(host, "/metrics");
+        }
+        CHECK(all_pages.find("heathermoor_job_seconds_bucket{outcome=\"completed\"") != std::string::npos);
+        CHECK(all_pages.find("heathermoor_leading 1") != std::string::npos);
+        CHECK(all_pages.find("heathermoor_config_version 3") != std::string::npos);
+        CHECK(all.fetch_metrics(0, "/other").empty());
+    }
     GIVEN("a store that is away") {
         all.store().set_away(true);
         all.run_for(milliseconds{1'500});
--- /dev/null
+++ b/tests/trace/story.cpp
@@ -0,0 +1,99 @@
+#include "heathermoor/trace/story.hpp"
+
+#include "heathermoor/trace/breakdown.hpp"
+#include <catch2/catch.hpp>
+#include <sstream>
+
+using namespace heathermoor;
+
+namespace {
+
+constexpr auto refused_log = R"(
+10.1 front-a {"time":"T10.100","level":"info","host":"a","part":"member","event":"leader_changed","leader":"b:1","term":7,"jobs":3}
+{"time":"T10.300","level":"info","host":"b","part":"pool","event":"job_answered","job":"00000000000000aa","queue":"q","outcome":"refused","reason":"overloaded","age_ms":30.0,"objective_ms":120.0,"last_start_ms":0.0,"last_run":0}
+{"time":"T10.301","level":"info","host":"a","part":"gateway","event":"job_ended","job":"00000000000000aa","outcome":"refused","reason":"overloaded","callers":1}
+{"time":"T10.302","level":"info","host":"a","part":"callers","event":"request_answered","request":"r-1","job":"00000000000000aa","queue":"q","outcome":"refused","reason":"overloaded","waited_ms":31.0}
+)";
+
+constexpr auto takeover_log = R"(
+{"time":"T20.000","level":"info","host":"a","part":"gateway","event":"job_handed","job":"00000000000000bb","leader":"b:1","term":7,"clear_in_ms":0.0}
+{"time":"T20.200","level":"info","host":"a","part":"member","event":"leader_changed","leader":"c:1","term":8,"jobs":1}
+{"time":"T20.201","level":"info","host":"a","part":"gateway","event":"job_handed","job":"00000000000000bb","leader":"c:1","term":8,"clear_in_ms":840.0}
+{"time":"T20.700","level":"info","host":"c","part":"pool","event":"job_answered","job":"00000000000000bb","queue":"q","outcome":"unknown","reason":"leader_lost","age_ms":700.0,"objective_ms":120.0,"last_run":0}
+not a line of the log
+{"time":"T20.702","level":"info","host":"a","part":"callers","event":"request_answered","request":"r-2","job":"00000000000000bb","queue":"q","outcome":"unknown","reason":"leader_lost","waited_ms":702.0}
+)";
+
+constexpr auto late_log = R"(
+{"time":"T30.500","level":"info","host":"b","part":"pool","event":"run_ended","job":"00000000000000cc","step":0,"index":1,"run":1,"target":"t9","how":"failed","elapsed_ms":50.0}
+{"time":"T30.900","level":"info","host":"b","part":"pool","event":"job_answered","job":"00000000000000cc","queue":"q","outcome":"completed","reason":"ok","age_ms":600.0,"objective_ms":200.0,"last_start_ms":450.0,"last_run":2}
+)";
+
+[[nodiscard]] std::vector<trace::record> read(const char *log) {
+    std::vector<trace::record> records;
+    std::istringstream in{log};
+    (void)trace::read_log(in, records);
+    return records;
+}
+
+} // namespace
+
+SCENARIO("A complaint names a request; the logs of all hosts tell its cause", "[trace]") {
+    GIVEN("a request that was refused") {
+        const auto told = trace::explain(read(refused_log), "r-1");
+        THEN("the scheduler's line decided it, found by the job that the request stands for") {
+            REQUIRE(told.decided());
+            CHECK(told.lines[told.deciding].event == "job_answered");
+            CHECK(told.lines[told.deciding].host == "b");
+            CHECK(told.cause.find("refused before anything ran") != std::string::npos);
+        }
+        THEN("what was believed before it came is not part of it") {
+            CHECK(told.lines.front().event == "job_answered");
+        }
+    }
+    GIVEN("a request lost around a takeover") {
+        const auto told = trace::explain(read(takeover_log), "r-2");
+        THEN("the change of leader stands between its two hand-overs") {
+            REQUIRE(told.lines.size() == 5);
+            CHECK(told.lines[1].event == "leader_changed");
+            CHECK(told.cause.find("earlier leader") != std::string::npos);
+        }
+    }
+    GIVEN("a job that was late after a failed run") {
+        const auto told = trace::explain(read(late_log), "00000000000000cc");
+        CHECK(told.lines.size() == 2);
+        CHECK(told.cause.find("completed late") != std::string::npos);
+        CHECK(told.cause.find("450.0") != std::string::npos);
+    }
+    GIVEN("an identifier that nobody knows") {
+        const auto told = trace::explain(read(late_log), "r-404");
+        CHECK(told.lines.empty());
+        CHECK_FALSE(told.decided());
+        CHECK_FALSE(told.cause.empty());
+    }
+}
+
+SCENARIO("The breakdown counts outcomes by queue and reason", "[trace]") {
+    trace::breakdown all;
+    for(const auto *log: {refused_log, takeover_log, late_log}) {
+        for(const auto &line: read(log)) {
+            all.add(line);
+        }
+    }
+    REQUIRE(all.queues().size() == 1);
+    const auto &queue = all.queues().at("q");
+    CHECK(queue.late == 1);
+    CHECK(queue.in_time == 0);
+    CHECK(queue.again == 1);
+    CHECK(queue.reasons.at("overloaded") == 1);
+    CHECK(queue.reasons.at("leader_lost") == 1);
+}
+
+SCENARIO("Lines that are no events are counted, not taken", "[trace]") {
+    for(const auto *line: {"", "text", "{", "{\"time\":1", "[1]", R"({"event":"x"})", R"({"time":"t"})", "{}\xff"}) {
+        CHECK_FALSE(trace::read_record(line));
+    }
+    std::vector<trace::record> records;
+    std::istringstream in{takeover_log};
+    CHECK(trace::read_log(in, records) == 2);
+}
