Choose a leader among hosts that have listened; let callers wait for the first one

The host with the first name started last and had to listen for 400 ms; the others waited for it though they had listened long enough. And a host that has just started counted the time without a leader from the start of its clock, so it refused at once what it may hold for 900 ms.

Change: a host that only listens says so and is no candidate; the gateway counts from its own start.

--- a/src/heathermoor/election/leader_election.cpp
+++ b/src/heathermoor/election/leader_election.cpp
@@ -31,7 +31,9 @@
 } // namespace internal
 
 leader_election::leader_election(peer_state self, time_point now)
-    : m_self{std::move(self)}, m_leaderless_since{now + internal::start_time}, m_leading_since{now} {}
+    : m_self{std::move(self)}, m_listens_until{now + internal::start_time}, m_leaderless_since{m_listens_until}, m_leading_since{now} {
+    m_self.listening = true;
+}
 
 void leader_election::heard(const peer_state &peer, time_point now) {
     if(peer.id == m_self.id) {
@@ -101,7 +103,9 @@
 }
 
 peer_state leader_election::best_candidate(time_point now) const {
-    const auto key = [](const peer_state &peer) { return std::tuple{peer.draining, peer.lag > internal::heavy_lag, peer.id}; };
+    const auto key = [](const peer_state &peer) {
+        return std::tuple{peer.draining, peer.listening, peer.lag > internal::heavy_lag, peer.id};
+    };
     auto best = m_self;
     for(const auto &[id, peer]: m_peers) {
         if(is_alive(peer, now) && key(peer.state) < key(best)) {
@@ -121,6 +125,7 @@
 std::optional<host_id> leader_election::decide(time_point now) {
     std::erase_if(m_peers, [now](const auto &item) { return now - item.second.heard_at > internal::membership_time; });
     m_self.hears = static_cast<std::uint32_t>(alive(now).size()) + 1;
+    m_self.listening = now < m_listens_until;
     m_self.leading_for = m_self.leading ? now - m_leading_since : duration::zero();
     const auto leader = best_leader(now);
     if(leader) {
--- a/src/heathermoor/election/leader_election.hpp
+++ b/src/heathermoor/election/leader_election.hpp
@@ -16,6 +16,8 @@
     incarnation process{};
     /// The host is shutting down and takes no new role.
     bool draining{};
+    /// The host has just started and only listens: a leader may be there that it has not heard yet.
+    bool listening{};
     /// The host schedules the pool.
     bool leading{};
     /// Number of hosts that it hears, itself included.
@@ -89,6 +91,8 @@
 
     peer_state m_self;
     std::map<host_id, known_peer> m_peers;
+    /// End of the time in which this host only listens.
+    time_point m_listens_until;
     time_point m_leaderless_since;
     time_point m_leading_since;
 };
--- a/src/heathermoor/gateway/gateway.hpp
+++ b/src/heathermoor/gateway/gateway.hpp
@@ -72,8 +72,9 @@
     /// @param self Own host.
     /// @param callers Answers callers.
     /// @param schedulers Reaches the scheduler.
-    gateway(host_id self, caller_port &callers, scheduler_port &schedulers)
-        : m_self{std::move(self)}, m_callers{callers}, m_schedulers{schedulers} {}
+    /// @param now Current time.
+    gateway(host_id self, caller_port &callers, scheduler_port &schedulers, time_point now)
+        : m_self{std::move(self)}, m_callers{callers}, m_schedulers{schedulers}, m_leaderless_since{now} {}
 
     /// @brief Takes a caller's job.
     /// @param request Caller's request.
@@ -165,7 +166,7 @@
     caller_port &m_callers;
     scheduler_port &m_schedulers;
     std::optional<leader_ref> m_leader;
-    time_point m_leaderless_since{};
+    time_point m_leaderless_since;
     std::unordered_map<job_id, open_job> m_jobs;
     std::unordered_map<request_token, job_id> m_requests;
     std::unordered_map<job_id, past_job> m_past;
--- a/src/heathermoor/member/member.cpp
+++ b/src/heathermoor/member/member.cpp
@@ -63,7 +63,7 @@
 
 member::member(settings options, ports out)
     : m_settings{std::move(options)}, m_ports{out}, m_election{internal::own_state(m_settings), out.clock.now()},
-      m_gateway{m_settings.self, out.callers, *this}, m_scheduler{out.orders, *this, lease::token_source{hash64(m_settings.self.str())}} {
+      m_gateway{m_settings.self, out.callers, *this, out.clock.now()}, m_scheduler{out.orders, *this, lease::token_source{hash64(m_settings.self.str())}} {
     for(const auto &seed: m_settings.seeds) {
         meet(seed);
     }
@@ -317,6 +317,7 @@
     state.domain = failure_domain_id{message.domain()};
     state.process = peer.process;
     state.draining = beat.draining();
+    state.listening = beat.listening();
     state.leading = beat.leading();
     state.hears = beat.hears();
     state.lag = duration{static_cast<std::int64_t>(beat.lag_us())};
@@ -511,6 +512,7 @@
 void member::fill_heartbeat(wire::pool_heartbeat &beat) {
     const auto &self = m_election.self();
     beat.set_draining(self.draining);
+    beat.set_listening(self.listening);
     beat.set_leading(m_leading);
     beat.set_term(raw(m_term));
     beat.set_hears(self.hears);
--- /dev/null
+++ b/tests/election/leader_election.cpp
@@ -0,0 +1,78 @@
+#include "heathermoor/election/leader_election.hpp"
+
+#include <catch2/catch.hpp>
+#include <map>
+#include <string>
+
+using namespace heathermoor;
+using election::leader_election;
+using election::peer_state;
+
+namespace {
+
+constexpr milliseconds beat{100};
+
+/// Hosts that hear each other's heartbeats at once.
+struct hosts {
+    void start(const std::string &name) {
+        peer_state self;
+        self.id = host_id{name};
+        all.emplace(name, leader_election{self, now});
+    }
+
+    /// Lets time pass; true if a host began to lead.
+    void pass(milliseconds length) {
+        for(const auto end = now + length; now < end; now += beat / 4) {
+            for(auto &[name, one]: all) {
+                (void)one.decide(now);
+                for(auto &[other, receiver]: all) {
+                    receiver.heard(one.self(), now);
+                }
+            }
+        }
+    }
+
+    [[nodiscard]] std::vector<std::string> leaders() const {
+        std::vector<std::string> result;
+        for(const auto &[name, one]: all) {
+            if(one.self().leading) {
+                result.push_back(name);
+            }
+        }
+        return result;
+    }
+
+    time_point now{seconds{100}};
+    std::map<std::string, leader_election> all;
+};
+
+} // namespace
+
+SCENARIO("Hosts that start one after the other after a power loss soon have one leader", "[election]") {
+    hosts world;
+    world.start("c");
+    world.pass(milliseconds{300});
+    world.start("b");
+    world.pass(milliseconds{150});
+    world.start("a");
+    GIVEN("the first host has listened long enough, the others have just started") {
+        world.pass(milliseconds{150});
+        THEN("it leads and does not wait for a host that only listens yet") {
+            CHECK(world.leaders() == std::vector<std::string>{"c"});
+        }
+        THEN("it goes on leading when the others have listened") {
+            world.pass(seconds{2});
+            CHECK(world.leaders() == std::vector<std::string>{"c"});
+        }
+    }
+}
+
+SCENARIO("A host that starts beside a leader follows it", "[election]") {
+    hosts world;
+    world.start("b");
+    world.pass(seconds{1});
+    REQUIRE(world.leaders() == std::vector<std::string>{"b"});
+    world.start("a");
+    world.pass(seconds{2});
+    CHECK(world.leaders() == std::vector<std::string>{"b"});
+}
