Rule a start without an answer out by one call; ask sooner while answers get lost

With half of the orders lost nearly all requests were refused while the targets were empty. Quick jobs were late too because the answer that told an end was lost.

Change: the fence of the target is raised by the holder itself. That one call bars the start if it has not been carried out and lists it if it has (before, it was stopped and run again). It is repeated at once up to three times.

Tests: a start carried out or not, a claim without answer, one lost answer is no loss.

--- a/src/heathermoor/heathermoor.hpp
+++ b/src/heathermoor/heathermoor.hpp
@@ -48,6 +48,7 @@
 #include "heathermoor/placement/scheduler.hpp"
 #include "heathermoor/placement/spreader.hpp"
 #include "heathermoor/pool/experience.hpp"
+#include "heathermoor/pool/loss_meter.hpp"
 #include "heathermoor/pool/ports.hpp"
 #include "heathermoor/pool/run_estimate.hpp"
 #include "heathermoor/pool/scheduler.hpp"
--- a/src/heathermoor/pool/target_holder.cpp
+++ b/src/heathermoor/pool/target_holder.cpp
@@ -20,6 +20,9 @@
 /// a lease after one lost call, and short enough to see early which runs are slow.
 constexpr milliseconds busy_wait{125};
 
+/// The same while answers get lost: an end that was told in a lost answer is told again this soon.
+constexpr milliseconds lossy_wait{40};
+
 /// Wait of the call that follows a target without runs; the longest the platform allows.
 constexpr milliseconds idle_wait{2'000};
 
@@ -29,6 +32,9 @@
 /// Time between claims that found no answer.
 constexpr milliseconds claim_retry{250};
 
+/// Claims sent at once, one after the other, when an order to a held target was not answered.
+constexpr std::uint32_t quick_claims = 3;
+
 /// Time out of reach without a run after which other hosts are told so.
 constexpr milliseconds idle_time{1'000};
 
@@ -86,9 +92,19 @@
     if(answer.clock) {
         found->second.ledger.observe_clock(*answer.clock, now);
     }
+    const bool answered = answer.outcome != lease::order_outcome::unanswered && answer.outcome != lease::order_outcome::not_sent;
+    if(answered) {
+        found->second.answered_at = now;
+    }
     return &found->second;
 }
 
+void target_holder::raise_fence(held_target &target, time_point now) {
+    target.state = hold_state::idle;
+    target.next_claim = now;
+    target.quick_claims = internal::quick_claims;
+}
+
 void target_holder::start(const target_id &target, const job::task_ref &task, run_number run, const resources &need,
                           const std::string &payload, time_point now) {
     auto &held = m_targets.at(target);
@@ -127,6 +143,9 @@
         target->silent = false;
         target->ledger.lease_confirmed(answer.until);
     }
+    m_losses.add(answer.outcome != lease::order_outcome::unanswered || target->silent);
+    const auto *entry = target->ledger.find(answer.task);
+    const auto sent = entry != nullptr ? entry->ordered_at : now;
     const auto ended = target->ledger.start_answered(answer.task, answer.run, answer.outcome, now);
     if(ended) {
         m_listener.run_ended(answer.target, *ended, now);
@@ -134,8 +153,8 @@
     if(answer.outcome == lease::order_outcome::fenced) {
         fenced(*target, now);
     } else if(answer.outcome == lease::order_outcome::unanswered) {
-        target->silent = true;
-        stop(answer.target, answer.task, now);
+        target->silent = target->silent || target->answered_at <= sent;
+        raise_fence(*target, now);
     } else if(answer.outcome == lease::order_outcome::not_sent) {
         target->silent = true;
     }
@@ -175,15 +194,18 @@
         }
         return;
     }
+    m_losses.add(answer.outcome == lease::order_outcome::done || target.silent || target.state == hold_state::claiming);
     if(answer.outcome != lease::order_outcome::done) {
-        target.silent = true;
+        target.silent = target.silent || target.answered_at <= answer.asked;
         if(target.state == hold_state::claiming) {
             target.state = hold_state::idle;
-            target.next_claim = now + internal::claim_retry;
+            target.next_claim = target.quick_claims > 0 ? now : now + internal::claim_retry;
+            target.quick_claims -= target.quick_claims > 0 ? 1 : 0;
         }
         return;
     }
     target.silent = false;
+    target.answered_at = now;
     target.leaving = answer.report.remaining.has_value();
     target.proved_at = std::max(target.proved_at, answer.asked);
     if(target.state == hold_state::claiming) {
@@ -199,9 +221,8 @@
     }
     if(changes.restarted) {
         log_event(log_level::info, "pool", "target_restarted", {{"target", target.entry.id}, {"boot", answer.report.boot}});
-        // A start that was delayed in the network may still reach the new boot: raise its fence.
-        target.state = hold_state::idle;
-        target.next_claim = now;
+        // A start that was delayed in the network may still reach the new boot.
+        raise_fence(target, now);
         m_listener.target_restarted(answer.target);
     }
     publish(answer.target, changes, now);
@@ -257,7 +278,7 @@
 void target_holder::follow(held_target &target, time_point now) {
     report_order order{address_of(target), report_purpose::follow, std::nullopt, target.ledger.last_end(), internal::idle_wait};
     if(target.ledger.busy()) {
-        order.wait = internal::busy_wait;
+        order.wait = m_losses.lossy() ? internal::lossy_wait : internal::busy_wait;
         ask_lease(order, target, now);
     }
     target.following = true;
--- a/src/heathermoor/pool/target_holder.hpp
+++ b/src/heathermoor/pool/target_holder.hpp
@@ -4,6 +4,7 @@
 #include "heathermoor/core/interface.hpp"
 #include "heathermoor/lease/target_ledger.hpp"
 #include "heathermoor/lease/token_source.hpp"
+#include "heathermoor/pool/loss_meter.hpp"
 #include "heathermoor/pool/ports.hpp"
 #include <map>
 #include <set>
@@ -60,13 +61,17 @@
     time_point proved_at;
     /// Since when a report is wanted, whatever is known.
     time_point proof_wanted;
+    /// Claims that are repeated at once if they are not answered.
+    std::uint32_t quick_claims{};
     /// Pause before a claim after another holder has taken the target.
     milliseconds fenced_pause{};
     bool following{};
     bool renewing{};
+    /// When the latest answer of any kind came.
+    time_point answered_at;
     /// When the call that waits for ends has to be answered at the latest.
     time_point answer_due;
-    /// The latest call was not answered; nothing new is started until one is.
+    /// A call was not answered, nor was any other since it was sent; nothing new is started until one is.
     bool silent{};
     /// The target itself says that it is about to leave.
     bool leaving{};
@@ -181,6 +186,8 @@
     void follow(held_target &target, time_point now);
     void renew(held_target &target, time_point now);
     void resolve_doubts(held_target &target, time_point now);
+    /// Claims a held target anew: a start without an answer is carried out before that, and listed then, or never.
+    void raise_fence(held_target &target, time_point now);
     void fenced(held_target &target, time_point now);
     [[nodiscard]] bool certainly_idle(const target_id &id) const;
     void publish(const target_id &id, const lease::ledger_changes &changes, time_point now);
@@ -197,6 +204,7 @@
     std::set<target_id> m_published_idle;
     /// When targets were last named as idle.
     std::map<target_id, time_point> m_idle_named;
+    loss_meter m_losses;
     std::uint64_t m_claims{};
 };
 
--- a/tests/pool/scheduler.cpp
+++ b/tests/pool/scheduler.cpp
@@ -305,6 +305,62 @@
     CHECK(bench.answers[job_id{"one"}].front().second.result == job::outcome::failed);
 }
 
+SCENARIO("Answers get lost: one call rules a start out or finds it at work", "[pool]") {
+    hand_driven bench;
+    bench.add_targets(1);
+    bench.submit("one", "a", 1);
+    REQUIRE(bench.starts.size() == 1);
+    const auto order = std::exchange(bench.starts, {}).front();
+    bench.now += milliseconds{50};
+
+    const auto lose_answer = [&] {
+        bench.reports.clear();
+        bench.work.start_answered(
+            {order.to.target, order.to.token, order.task, order.run, lease::order_outcome::unanswered, order.until, std::nullopt},
+            bench.now);
+        bench.tick();
+        REQUIRE_FALSE(bench.reports.empty());
+        CHECK(bench.reports.front().purpose == report_purpose::claim);
+        CHECK(bench.reports.front().to.token > order.to.token);
+        CHECK(bench.starts.empty());
+    };
+    GIVEN("a start that the target has not carried out") {
+        lose_answer();
+        bench.answer_reports();
+        THEN("it can no longer be, so the task starts anew at once") {
+            REQUIRE(bench.starts.size() == 1);
+            CHECK(bench.starts.front().run > order.run);
+        }
+    }
+    GIVEN("a start that the target has carried out") {
+        bench.running[order.task] = {order.to.target, order.run, 0};
+        lose_answer();
+        bench.answer_reports();
+        THEN("the run goes on") {
+            CHECK(bench.starts.empty());
+            CHECK(bench.stops.empty());
+            bench.end(order.task, lease::run_end::done);
+            bench.now += milliseconds{50};
+            bench.tick();
+            bench.answer_reports();
+            CHECK(bench.count(job::outcome::completed) == 1);
+        }
+    }
+    GIVEN("a claim that gets no answer either") {
+        lose_answer();
+        const auto claim = std::exchange(bench.reports, {}).front();
+        bench.now += milliseconds{50};
+        bench.work.report_answered({claim.to.target, claim.to.token, claim.purpose, lease::order_outcome::unanswered, {}, {}, bench.now},
+                                   bench.now);
+        bench.tick();
+        THEN("it is repeated at once, and the room stays taken") {
+            REQUIRE_FALSE(bench.reports.empty());
+            CHECK(bench.reports.front().purpose == report_purpose::claim);
+            CHECK(bench.starts.empty());
+        }
+    }
+}
+
 SCENARIO("A target that says it leaves gets no new work, whatever the list says", "[pool]") {
     hand_driven bench;
     bench.add_targets(2);
