--- /dev/null
+++ b/src/heathermoor/host/owner_role_records.cpp
@@ -0,0 +1,225 @@
+#include "heathermoor/host/owner_role.hpp"
+
+#include "heathermoor/host/convert.hpp"
+#include <algorithm>
+
+namespace heathermoor::host {
+
+namespace internal {
+
+constexpr std::size_t max_journal_keys = 5'000;
+constexpr std::size_t max_unwritten_keys = 500'000;
+
+} // namespace internal
+
+void owner_role::remember(const wire::envelope &message, time_point now) {
+    const auto &in = message.remember();
+    wire::envelope out;
+    auto &ack = *out.mutable_remembered();
+    out.set_to_incarnation(message.incarnation());
+    {
+        const std::lock_guard lock{m_witness_mutex};
+        for(int index = 0; index < std::min(in.keys_size(), std::min(in.partitions_size(), in.epochs_size())); ++index) {
+            const auto slice = in.partitions(index);
+            if(slice >= submission::partition_count || in.epochs(index) < m_fence.at(slice)) {
+                ack.set_refused(true);
+                continue;
+            }
+            m_witnessed.at(slice).push_back({in.keys(index), now});
+            ack.add_jobs(in.jobs(index));
+        }
+    }
+    m_out.send(host_id{message.from()}, std::move(out));
+}
+
+void owner_role::confirm(const std::vector<job_handle> &jobs, time_point now) {
+    for(const auto job: jobs) {
+        pending_record entry;
+        {
+            const std::lock_guard lock{m_record_mutex};
+            const auto found = m_pending_records.find(raw(job));
+            if(found == m_pending_records.end()) {
+                continue;
+            }
+            entry = found->second;
+            m_pending_records.erase(found);
+        }
+        const auto allowed = m_control.may_start(entry.slice, m_ports.clock.now());
+        auto &part = shard_of(job);
+        submission::owner_effects effects;
+        {
+            const std::lock_guard lock{part.mutex};
+            part.table.recorded(job, allowed, now, effects);
+        }
+        carry_out(part, std::move(effects), now);
+    }
+}
+
+void owner_role::refuse(const std::vector<job_handle> &jobs, time_point now) {
+    for(const auto job: jobs) {
+        {
+            const std::lock_guard lock{m_record_mutex};
+            m_pending_records.erase(raw(job));
+        }
+        auto &part = shard_of(job);
+        submission::owner_effects effects;
+        {
+            const std::lock_guard lock{part.mutex};
+            part.table.record_failed(job, effects);
+        }
+        carry_out(part, std::move(effects), now);
+    }
+}
+
+void owner_role::remembered(const wire::envelope &message, time_point now) {
+    std::vector<job_handle> jobs;
+    for(const auto job: message.remembered().jobs()) {
+        jobs.push_back(static_cast<job_handle>(job));
+    }
+    confirm(jobs, now);
+}
+
+void owner_role::recall(const wire::envelope &message) {
+    const auto &in = message.ask_recall();
+    wire::envelope out;
+    auto &reply = *out.mutable_recalled();
+    reply.set_epoch(in.epoch());
+    out.set_to_incarnation(message.incarnation());
+    {
+        const std::lock_guard lock{m_witness_mutex};
+        for(const auto slice: in.partitions()) {
+            if(slice >= submission::partition_count) {
+                continue;
+            }
+            m_fence.at(slice) = std::max(m_fence.at(slice), in.epoch());
+            for(const auto &seen: m_witnessed.at(slice)) {
+                reply.add_keys(seen.key);
+                reply.add_key_partitions(slice);
+            }
+        }
+    }
+    m_out.send(host_id{message.from()}, std::move(out));
+}
+
+void owner_role::add_barred(std::uint64_t key, time_point now) {
+    auto &part = shard_of_key(key);
+    const std::lock_guard lock{part.mutex};
+    part.table.add_lost(key, now);
+}
+
+void owner_role::recalled(const wire::envelope &message, time_point now) {
+    for(const auto key: message.recalled().keys()) {
+        add_barred(key, now);
+    }
+    m_control.recalled(host_id{message.from()}, static_cast<epoch>(message.recalled().epoch()));
+}
+
+void owner_role::recall_own(const std::vector<partition> &slices, time_point now) {
+    std::vector<std::uint64_t> keys;
+    {
+        const std::lock_guard lock{m_witness_mutex};
+        for(const auto slice: slices) {
+            m_fence.at(raw(slice)) = std::max(m_fence.at(raw(slice)), raw(m_control.epoch_of(slice)));
+            for(const auto &seen: m_witnessed.at(raw(slice))) {
+                keys.push_back(seen.key);
+            }
+        }
+    }
+    for(const auto key: keys) {
+        add_barred(key, now);
+    }
+}
+
+void owner_role::journal_read(const std::vector<wire::record> &records, time_point now) {
+    google::protobuf::util::JsonParseOptions options;
+    options.ignore_unknown_fields = true;
+    for(const auto &record: records) {
+        wire::journal_record entry;
+        if(!google::protobuf::util::JsonStringToMessage(record.data(), &entry, options).ok() ||
+           (entry.host() == m_options.host.str() && entry.incarnation() == raw(m_options.process))) {
+            continue;
+        }
+        for(const auto key: unpack_keys(entry.packed_keys())) {
+            add_barred(key, now);
+        }
+    }
+}
+
+void owner_role::flush_journal(time_point now) {
+    wire::journal_record entry;
+    std::vector<std::uint64_t> keys;
+    std::uint64_t token{};
+    {
+        const std::lock_guard lock{m_record_mutex};
+        m_journal_due = now + m_options.journal_interval;
+        if(m_journal_batch.empty() || !m_journal_waits.empty()) {
+            return;
+        }
+        token = m_next_token++;
+        const auto count = std::min(m_journal_batch.size(), internal::max_journal_keys);
+        auto &waits = m_journal_waits[token];
+        for(std::size_t index = 0; index < count; ++index) {
+            const auto &request = m_journal_batch[index];
+            keys.push_back(request.key);
+            waits.push_back(request);
+        }
+        m_journal_batch.erase(m_journal_batch.begin(), m_journal_batch.begin() + static_cast<std::ptrdiff_t>(count));
+        m_journal_urgent = std::any_of(m_journal_batch.begin(), m_journal_batch.end(), [](const auto &r) { return raw(r.job) != 0; });
+    }
+    entry.set_packed_keys(pack_keys(keys));
+    entry.set_domain(m_options.domain.str());
+    entry.set_host(m_options.host.str());
+    entry.set_incarnation(raw(m_options.process));
+    std::string text;
+    (void)google::protobuf::util::MessageToJsonString(entry, &text);
+    m_ports.log.append(port::log_stream::journal, std::move(text), static_cast<port::append_token>(token));
+}
+
+bool owner_role::appended(port::append_token token, std::error_code error, time_point now) {
+    std::vector<job_handle> jobs;
+    auto more = false;
+    {
+        const std::lock_guard lock{m_record_mutex};
+        const auto found = m_journal_waits.find(raw(token));
+        if(found == m_journal_waits.end()) {
+            return false;
+        }
+        for(const auto &request: found->second) {
+            if(raw(request.job) != 0) {
+                jobs.push_back(request.job);
+            } else if(error && m_journal_batch.size() < internal::max_unwritten_keys) {
+                m_journal_batch.push_back(request);
+            }
+        }
+        m_journal_waits.erase(found);
+        more = m_journal_urgent && !error;
+    }
+    if(error) {
+        refuse(jobs, now);
+    } else {
+        confirm(jobs, now);
+    }
+    if(more) {
+        flush_journal(now);
+    }
+    return true;
+}
+
+void owner_role::fall_back_to_journal(time_point now) {
+    auto urgent = false;
+    {
+        const std::lock_guard lock{m_record_mutex};
+        for(auto &[job, entry]: m_pending_records) {
+            if(!entry.in_journal && now - entry.asked > m_options.witness_timeout) {
+                entry.in_journal = true;
+                m_journal_batch.push_back({static_cast<job_handle>(job), entry.key, entry.slice});
+                m_journal_urgent = true;
+            }
+        }
+        urgent = m_journal_urgent || (now >= m_journal_due && !m_journal_batch.empty());
+    }
+    if(urgent) {
+        flush_journal(now);
+    }
+}
+} // namespace heathermoor::host
--- /dev/null
+++ b/src/heathermoor/host/owner_role_transfer.cpp
@@ -0,0 +1,159 @@
+#include "heathermoor/host/owner_role.hpp"
+
+#include "heathermoor/host/convert.hpp"
+
+namespace heathermoor::host {
+
+namespace internal {
+
+constexpr duration transfer_timeout = seconds{1};
+
+} // namespace internal
+
+void owner_role::transfer(const ownership::transfer_plan &plan, time_point now) {
+    std::uint64_t serial{};
+    {
+        const std::lock_guard lock{m_transfer_mutex};
+        serial = m_next_serial++;
+        m_transfer = transfer_state{plan, serial, now, false, {}};
+    }
+    constexpr std::size_t entries_per_message = 200;
+    std::vector<wire::envelope> messages(1);
+    std::uint64_t total{};
+    const auto current = [&]() -> wire::handover & {
+        if(total > 0 && total % entries_per_message == 0) {
+            messages.emplace_back();
+        }
+        ++total;
+        auto &table = *messages.back().mutable_table();
+        table.set_serial(serial);
+        return table;
+    };
+    for(const auto &part: m_shards) {
+        const std::lock_guard lock{part->mutex};
+        for(const auto slice: plan.slices) {
+            for(auto &entry: part->table.export_partition(slice, now)) {
+                auto *out = current().add_entries();
+                out->set_key(entry.key);
+                out->set_customer(std::move(entry.customer));
+                out->set_id(std::move(entry.id));
+                out->set_digest(entry.digest);
+                out->set_partition(raw(entry.slice));
+                out->set_running(entry.running);
+                out->set_age_ms(static_cast<std::uint32_t>(to_ms(entry.age)));
+                *out->mutable_result() = to_wire(entry.result);
+            }
+        }
+        for(const auto key: part->table.barred_keys()) {
+            current().add_keys(key);
+        }
+    }
+    auto &last = *messages.back().mutable_table();
+    last.set_serial(serial);
+    last.set_last(true);
+    last.set_total(total);
+    for(const auto slice: plan.slices) {
+        last.add_partitions(raw(slice));
+    }
+    for(auto &message: messages) {
+        message.set_to_incarnation(raw(plan.to_process));
+        m_out.send(plan.to, std::move(message));
+    }
+}
+
+void owner_role::table_received(const wire::envelope &message, time_point now) {
+    const auto &in = message.table();
+    const host_id from{message.from()};
+    for(const auto &moved: in.entries()) {
+        submission::transferred_entry entry{moved.key(),
+                                            moved.customer(),
+                                            moved.id(),
+                                            moved.digest(),
+                                            static_cast<partition>(moved.partition()),
+                                            moved.running(),
+                                            from_wire(moved.result()),
+                                            milliseconds{moved.age_ms()}};
+        auto &part = shard_of_key(moved.key());
+        submission::owner_effects effects;
+        {
+            const std::lock_guard lock{part.mutex};
+            part.table.import_entry(std::move(entry), from, now, effects);
+        }
+        carry_out(part, std::move(effects), now);
+    }
+    for(const auto key: in.keys()) {
+        add_barred(key, now);
+    }
+    if(in.serial() == 0) {
+        return;
+    }
+    std::uint64_t received{};
+    {
+        const std::lock_guard lock{m_transfer_mutex};
+        auto &count = m_received[{from, in.serial()}];
+        count += static_cast<std::uint64_t>(in.entries_size()) + static_cast<std::uint64_t>(in.keys_size());
+        received = count;
+        if(in.last()) {
+            m_received.erase({from, in.serial()});
+        }
+    }
+    if(!in.last() || received != in.total()) {
+        return;
+    }
+    std::vector<partition> slices;
+    for(const auto slice: in.partitions()) {
+        slices.push_back(static_cast<partition>(slice));
+    }
+    m_control.received_table(slices, from, static_cast<incarnation>(message.incarnation()));
+    wire::envelope out;
+    out.mutable_table_ack()->set_serial(in.serial());
+    out.set_to_incarnation(message.incarnation());
+    m_out.send(from, std::move(out));
+}
+
+void owner_role::table_acknowledged(const wire::envelope &message, time_point now) {
+    {
+        const std::lock_guard lock{m_transfer_mutex};
+        if(!m_transfer || m_transfer->serial != message.table_ack().serial()) {
+            return;
+        }
+        m_transfer->acknowledged = true;
+        m_transfer->append_at = now;
+    }
+    drive_transfer(now);
+}
+
+void owner_role::drive_transfer(time_point now) {
+    std::optional<ownership::transfer_plan> append;
+    auto abandon = false;
+    {
+        const std::lock_guard lock{m_transfer_mutex};
+        if(!m_transfer) {
+            return;
+        }
+        if(!m_transfer->acknowledged) {
+            abandon = now - m_transfer->sent > internal::transfer_timeout;
+            if(abandon) {
+                m_transfer.reset();
+            }
+        } else if(now >= m_transfer->append_at) {
+            m_transfer->append_at = now + internal::transfer_timeout;
+            append = m_transfer->plan;
+        }
+    }
+    if(abandon) {
+        m_control.abandon_transfer();
+    }
+    if(!append) {
+        return;
+    }
+    if(const auto record = m_control.transfer_record(*append)) {
+        std::string text;
+        (void)google::protobuf::util::MessageToJsonString(*record, &text);
+        m_ports.log.append(port::log_stream::ownership, std::move(text), static_cast<port::append_token>(0));
+    } else {
+        const std::lock_guard lock{m_transfer_mutex};
+        m_transfer.reset();
+    }
+}
+} // namespace heathermoor::host
--- a/src/heathermoor/member/member.cpp
+++ b/src/heathermoor/member/member.cpp
@@ -3,25 +3,13 @@
 #include "heathermoor/core/event.hpp"
 #include "heathermoor/core/hash.hpp"
 #include "heathermoor/member/convert.hpp"
+#include "heathermoor/member/policy.hpp"
 #include <algorithm>
 
 namespace heathermoor::member {
 
 namespace internal {
 
-/// Time between heartbeats; a quarter of the time after which a host counts as gone.
-constexpr milliseconds heartbeat_interval{100};
-
-/// Time from a heartbeat of the leader, as echoed by an entry host, in which the
-/// entry host counts as waiting for its jobs.
-constexpr milliseconds vouch_time{450};
-
-/// Time between requests for a peer's configuration or catalog.
-constexpr milliseconds pull_interval{300};
-
-/// Silence of the platform's store after which peers are asked for the list of targets.
-constexpr milliseconds store_patience{2'500};
-
 /// Time for which a minority that hears more hosts again waits before it holds
 /// all targets: their scheduler is about to be heard.
 constexpr milliseconds widen_time{600};
@@ -44,9 +32,6 @@
 /// Hosts that get it: enough for several successors to be lost at once.
 constexpr std::size_t experienced_hosts = 8;
 
-/// Time after which a host that is not heard is no longer passed on to others.
-constexpr seconds gossip_time{20};
-
 [[nodiscard]] election::peer_state own_state(const settings &options) {
     election::peer_state state;
     state.id = options.self;
@@ -55,15 +40,12 @@
     return state;
 }
 
-[[nodiscard]] std::int64_t to_us(time_point at) noexcept {
-    return at.time_since_epoch().count();
-}
-
 } // namespace internal
 
 member::member(settings options, ports out)
     : m_settings{std::move(options)}, m_ports{out}, m_election{internal::own_state(m_settings), out.clock.now()},
-      m_gateway{m_settings.self, out.callers, *this, out.clock.now()}, m_scheduler{out.orders, *this, lease::token_source{hash64(m_settings.self.str())}} {
+      m_gateway{m_settings.self, out.callers, *this, out.clock.now()}, m_scheduler{out.orders, *this,
+                                                                                   lease::token_source{hash64(m_settings.self.str())}} {
     for(const auto &seed: m_settings.seeds) {
         meet(seed);
     }
@@ -192,243 +174,6 @@
     log_event(log_level::info, "member", "experience_recalled", {{"queues", message.queues_size()}, {"targets", message.targets_size()}});
 }
 
-void member::send(const host_id &to, wire::envelope message) {
-    message.set_from(m_settings.self.str());
-    message.set_incarnation(raw(m_settings.process));
-    message.set_domain(m_settings.domain.str());
-    message.set_sent_us(internal::to_us(now()));
-    if(to == m_settings.self) {
-        m_inbox.push_back(std::move(message));
-        return;
-    }
-    const auto peer = m_peers.find(to);
-    if(peer != m_peers.end()) {
-        message.set_echo_us(peer->second.last_sent_us);
-        message.set_to_incarnation(raw(peer->second.process));
-    }
-    m_ports.peers.send(to, std::move(message));
-}
-
-void member::settle() {
-    drain_inbox();
-    if(m_leading) {
-        m_scheduler.place(now());
-        drain_inbox();
-    }
-}
-
-void member::drain_inbox() {
-    if(m_draining_inbox) {
-        return;
-    }
-    m_draining_inbox = true;
-    while(!m_inbox.empty()) {
-        const auto message = std::move(m_inbox.front());
-        m_inbox.pop_front();
-        handle(message);
-    }
-    m_draining_inbox = false;
-}
-
-void member::received(const wire::envelope &message) {
-    if(message.to_incarnation() != 0 && message.to_incarnation() != raw(m_settings.process)) {
-        return;
-    }
-    handle(message);
-    settle();
-}
-
-void member::handle(const wire::envelope &message) {
-    switch(message.body_case()) {
-    case wire::envelope::kPoolBeat:
-        handle_heartbeat(message);
-        break;
-    case wire::envelope::kPoolJob:
-        handle_submit(message);
-        break;
-    case wire::envelope::kPoolCancelled:
-        if(m_leading && message.pool_cancelled().term() == raw(m_term)) {
-            m_scheduler.cancel(host_id{message.from()}, job_id{message.pool_cancelled().id()}, now());
-        }
-        break;
-    case wire::envelope::kPoolAsked:
-        handle_query(message);
-        break;
-    case wire::envelope::kPoolAnswered:
-        handle_answer(message);
-        break;
-    case wire::envelope::kPoolPulled:
-        handle_pull(message);
-        break;
-    case wire::envelope::kPoolRoutes:
-        (void)apply_config(from_wire(message.pool_routes()));
-        break;
-    case wire::envelope::kPoolLearned:
-        if(!m_leading) {
-            m_experienced = true;
-            m_scheduler.recall(from_wire(message.pool_learned()));
-        }
-        break;
-    case wire::envelope::kPoolTargets:
-        apply_catalog(from_wire(message.pool_targets()), log_offset{message.pool_targets().next()}, false);
-        break;
-    default:
-        break;
-    }
-}
-
-void member::handle_heartbeat(const wire::envelope &message) {
-    const auto at = now();
-    const host_id from{message.from()};
-    const auto &beat = message.pool_beat();
-    if(beat.leaving()) {
-        m_election.left(from);
-        m_peers.erase(from);
-        return;
-    }
-    auto &peer = m_peers[from];
-    if(message.incarnation() < raw(peer.process)) {
-        return;
-    }
-    peer.process = incarnation{message.incarnation()};
-    peer.heard_at = at;
-    peer.last_sent_us = message.sent_us();
-    peer.term = leader_term{beat.term()};
-    peer.config_version = beat.config_version();
-    peer.catalog_next = log_offset{beat.catalog_next()};
-    const bool gave_up = peer.leading && !beat.leading();
-    peer.leading = beat.leading();
-    if(beat.leading() && message.echo_us() != 0) {
-        std::set<target_id> idle;
-        for(const auto &target: beat.idle_targets()) {
-            idle.emplace(target);
-        }
-        m_scheduler.note_other(from, std::move(idle), peer.catalog_next, time_point{duration{message.echo_us()}});
-    }
-    if(gave_up && m_leading) {
-        m_scheduler.reclaim(at);
-    }
-    meet(from);
-    for(const auto &address: beat.members()) {
-        meet(host_id{address});
-    }
-    election::peer_state state;
-    state.id = from;
-    state.domain = failure_domain_id{message.domain()};
-    state.process = peer.process;
-    state.draining = beat.draining();
-    state.listening = beat.listening();
-    state.leading = beat.leading();
-    state.hears = beat.hears();
-    state.lag = duration{static_cast<std::int64_t>(beat.lag_us())};
-    state.follows = host_id{beat.follows()};
-    state.leading_for = duration{static_cast<std::int64_t>(beat.leading_for_us())};
-    m_election.heard(state, at);
-    if(beat.leading() && m_leader && m_leader->host == from) {
-        m_waiting.clear();
-        for(const auto &queue: beat.queues()) {
-            m_waiting[queue_id{queue.queue()}] = queue.waiting();
-        }
-    }
-    if(m_leading && beat.follows() == m_settings.self.str() && beat.follows_term() == raw(m_term) && message.echo_us() != 0) {
-        m_scheduler.vouch(from, time_point{duration{message.echo_us()}} + internal::vouch_time);
-    }
-    decide_leader(at);
-}
-
-void member::handle_submit(const wire::envelope &message) {
-    if(!m_leading || message.pool_job().term() != raw(m_term)) {
-        return;
-    }
-    const host_id from{message.from()};
-    const auto at = now();
-    const auto vouched_until =
-        from == m_settings.self ? at + internal::vouch_time : time_point{duration{message.echo_us()}} + internal::vouch_time;
-    if(vouched_until <= at) {
-        log_event(log_level::info, "member", "submission_stale", {{"job", message.pool_job().id()}, {"from", from}});
-        return;
-    }
-    m_scheduler.vouch(from, vouched_until);
-    m_scheduler.submit(from_wire(message.pool_job(), from), at);
-}
-
-void member::handle_query(const wire::envelope &message) {
-    if(!m_leading || message.pool_asked().term() != raw(m_term)) {
-        return;
-    }
-    const host_id from{message.from()};
-    for(const auto &id: message.pool_asked().ids()) {
-        if(!m_scheduler.resolve(from, job_id{id})) {
-            wire::envelope reply;
-            reply.mutable_pool_answered()->set_id(id);
-            reply.mutable_pool_answered()->set_not_known(true);
-            reply.mutable_pool_answered()->set_term(raw(m_term));
-            send(from, std::move(reply));
-        }
-    }
-}
-
-void member::handle_answer(const wire::envelope &message) {
-    const auto &reply = message.pool_answered();
-    const gateway::leader_ref from{host_id{message.from()}, leader_term{reply.term()}};
-    if(reply.not_known()) {
-        m_gateway.not_known(from, job_id{reply.id()}, now());
-        return;
-    }
-    job::answer answer;
-    answer.result = static_cast<job::outcome>(reply.result());
-    answer.reason = to_errc(reply.reason());
-    answer.retry_after = milliseconds{reply.retry_after_ms()};
-    m_gateway.answered(from, job_id{reply.id()}, answer, now());
-}
-
-void member::handle_pull(const wire::envelope &message) {
-    const host_id from{message.from()};
-    if(message.pool_pulled().config() && m_routes.configured()) {
-        wire::envelope reply;
-        *reply.mutable_pool_routes() = to_wire(m_routes.current());
-        send(from, std::move(reply));
-    }
-    if(message.pool_pulled().catalog()) {
-        wire::envelope reply;
-        *reply.mutable_pool_targets() = to_wire(m_catalog.records(), m_catalog.next());
-        send(from, std::move(reply));
-    }
-}
-
-void member::answer(const host_id &to, const job_id &job, const job::answer &answer) {
-    wire::envelope message;
-    auto &body = *message.mutable_pool_answered();
-    body.set_id(job.str());
-    body.set_result(static_cast<std::uint32_t>(answer.result));
-    body.set_reason(static_cast<std::uint32_t>(answer.reason));
-    body.set_retry_after_ms(answer.retry_after.count());
-    body.set_term(raw(m_term));
-    send(to, std::move(message));
-}
-
-void member::submit(const gateway::leader_ref &leader, pool::submission work) {
-    wire::envelope message;
-    *message.mutable_pool_job() = to_wire(work, leader.term);
-    send(leader.host, std::move(message));
-}
-
-void member::cancel(const gateway::leader_ref &leader, const job_id &id) {
-    wire::envelope message;
-    message.mutable_pool_cancelled()->set_id(id.str());
-    message.mutable_pool_cancelled()->set_term(raw(leader.term));
-    send(leader.host, std::move(message));
-}
-
-void member::query(const gateway::leader_ref &leader, const std::vector<job_id> &ids) {
-    wire::envelope message;
-    for(const auto &id: ids) {
-        message.mutable_pool_asked()->add_ids(id.str());
-    }
-    message.mutable_pool_asked()->set_term(raw(leader.term));
-    send(leader.host, std::move(message));
-}
-
 std::uint32_t member::waiting(const queue_id &queue) const {
     if(m_leading) {
         return m_scheduler.waiting(queue);
@@ -509,69 +254,6 @@
     }
 }
 
-void member::fill_heartbeat(wire::pool_heartbeat &beat) {
-    const auto &self = m_election.self();
-    beat.set_draining(self.draining);
-    beat.set_listening(self.listening);
-    beat.set_leading(m_leading);
-    beat.set_term(raw(m_term));
-    beat.set_hears(self.hears);
-    beat.set_lag_us(static_cast<std::uint64_t>(self.lag.count()));
-    beat.set_leading_for_us(static_cast<std::uint64_t>(self.leading_for.count()));
-    if(m_leader) {
-        beat.set_follows(m_leader->host.str());
-        beat.set_follows_term(raw(m_leader->term));
-    }
-    beat.set_config_version(m_routes.configured() ? raw(m_routes.current().version) : 0);
-    beat.set_catalog_next(raw(m_catalog.next()));
-    const auto at = now();
-    for(const auto &[id, peer]: m_peers) {
-        if(at - peer.heard_at < internal::gossip_time) {
-            beat.add_members(id.str());
-        }
-    }
-    if(!m_leading) {
-        return;
-    }
-    for(const auto &[name, length]: m_scheduler.waiting()) {
-        auto &queue = *beat.add_queues();
-        queue.set_queue(name.str());
-        queue.set_waiting(length);
-    }
-    for(const auto &target: m_scheduler.publish_idle(at)) {
-        beat.add_idle_targets(target.str());
-    }
-}
-
-void member::beat(time_point now) {
-    m_next_beat = now + internal::heartbeat_interval;
-    wire::envelope message;
-    fill_heartbeat(*message.mutable_pool_beat());
-    for(const auto &host: m_addresses) {
-        send(host, message);
-    }
-}
-
-void member::pull_from_peers(time_point now) {
-    if(now < m_next_pull) {
-        return;
-    }
-    const auto own_version = m_routes.configured() ? raw(m_routes.current().version) : 0;
-    const bool store_silent = now - m_store_answered > internal::store_patience;
-    for(const auto &[id, peer]: m_peers) {
-        const bool newer_config = peer.config_version > own_version;
-        const bool newer_catalog = store_silent && peer.catalog_next > m_catalog.next();
-        if(newer_config || newer_catalog) {
-            m_next_pull = now + internal::pull_interval;
-            wire::envelope message;
-            message.mutable_pool_pulled()->set_config(newer_config);
-            message.mutable_pool_pulled()->set_catalog(newer_catalog);
-            send(id, std::move(message));
-            return;
-        }
-    }
-}
-
 void member::tick(duration late) {
     const auto at = now();
     auto &lag = m_election.self().lag;
@@ -600,13 +282,4 @@
     beat(now());
     settle();
 }
-
-void member::leave() {
-    wire::envelope message;
-    message.mutable_pool_beat()->set_leaving(true);
-    for(const auto &host: m_addresses) {
-        send(host, message);
-    }
-}
-
 } // namespace heathermoor::member
