--- a/src/heathermoor/host/owner_role.cpp
+++ b/src/heathermoor/host/owner_role.cpp
@@ -2,7 +2,6 @@
 
 #include "heathermoor/host/convert.hpp"
 #include <algorithm>
-#include <google/protobuf/util/json_util.h>
 #include <map>
 
 namespace heathermoor::host {
--- a/src/heathermoor/host/owner_role_records.cpp
+++ b/src/heathermoor/host/owner_role_records.cpp
@@ -2,6 +2,7 @@
 
 #include "heathermoor/host/convert.hpp"
 #include <algorithm>
+#include <google/protobuf/util/json_util.h>
 
 namespace heathermoor::host {
 
--- a/src/heathermoor/host/owner_role_transfer.cpp
+++ b/src/heathermoor/host/owner_role_transfer.cpp
@@ -1,6 +1,7 @@
 #include "heathermoor/host/owner_role.hpp"
 
 #include "heathermoor/host/convert.hpp"
+#include <google/protobuf/util/json_util.h>
 
 namespace heathermoor::host {
 
