--- a/src/heathermoor/adapter/zmq_peers.cpp
+++ b/src/heathermoor/adapter/zmq_peers.cpp
@@ -85,6 +85,7 @@
             log(log_level::error, "peers", "Receiving failed. errno={}", failure.num());
             return;
         }
+        m_bytes_received += frame.size();
         wire::envelope message;
         if(message.ParseFromArray(frame.data(), static_cast<int>(frame.size()))) {
             handle(message);
@@ -145,6 +146,7 @@
         const std::lock_guard lock{peer->mutex};
         if(peer->socket.send(frame, zmq::send_flags::dontwait)) {
             m_bytes_sent += size;
+            ++m_messages_sent;
         } else {
             ++m_dropped;
         }
--- a/src/heathermoor/adapter/zmq_peers.hpp
+++ b/src/heathermoor/adapter/zmq_peers.hpp
@@ -51,6 +51,14 @@
     /// @return Bytes since the start.
     [[nodiscard]] std::uint64_t bytes_sent() const noexcept { return m_bytes_sent; }
 
+    /// @brief Bytes received from other hosts.
+    /// @return Bytes since the start.
+    [[nodiscard]] std::uint64_t bytes_received() const noexcept { return m_bytes_received; }
+
+    /// @brief Messages sent to other hosts.
+    /// @return Messages since the start.
+    [[nodiscard]] std::uint64_t messages_sent() const noexcept { return m_messages_sent; }
+
     /// @brief Messages dropped for want of a connection.
     /// @return Messages since the start.
     [[nodiscard]] std::uint64_t dropped() const noexcept { return m_dropped; }
@@ -63,6 +71,8 @@
     std::unique_ptr<sockets> m_sockets;
     std::atomic<bool> m_stopped{false};
     std::atomic<std::uint64_t> m_bytes_sent{};
+    std::atomic<std::uint64_t> m_bytes_received{};
+    std::atomic<std::uint64_t> m_messages_sent{};
     std::atomic<std::uint64_t> m_dropped{};
 };
 
--- a/src/heathermoor/member/member.cpp
+++ b/src/heathermoor/member/member.cpp
@@ -265,6 +265,7 @@
     m_gateway.tick(at);
     if(m_leading) {
         m_scheduler.vouch(m_settings.self, at + internal::vouch_time);
+        const metrics::work_meter::span work{m_ports.work, metrics::work_part::holding};
         m_scheduler.tick(at, m_ports.clock.unix_now());
         pass_experience_on(at);
     }
--- a/src/heathermoor/member/member.hpp
+++ b/src/heathermoor/member/member.hpp
@@ -3,6 +3,7 @@
 #include "heathermoor/catalog/target_catalog.hpp"
 #include "heathermoor/election/leader_election.hpp"
 #include "heathermoor/gateway/gateway.hpp"
+#include "heathermoor/metrics/work_meter.hpp"
 #include "heathermoor/pool/scheduler.hpp"
 #include "heathermoor/port/ports.hpp"
 #include "heathermoor/route/route_table.hpp"
@@ -10,6 +11,7 @@
 #include <map>
 #include <set>
 #include <string>
+#include <utility>
 #include <vector>
 
 namespace heathermoor::member {
@@ -39,6 +41,8 @@
     gateway::caller_port &callers;
     experience_port &store;
     port::clock_port &clock;
+    /// Accounts for the processor time of the thread that calls the host.
+    metrics::work_meter &work;
 };
 
 /// @brief One host of a shared pool: gateway of its callers, candidate for the lead.
@@ -152,6 +156,11 @@
     /// @return Number, this host included.
     [[nodiscard]] std::uint32_t hosts_heard() const noexcept { return m_election.self().hears; }
 
+    /// @brief Age of the oldest echo in a heartbeat since the last call: the time from a heartbeat of
+    /// this host until the answer to it was handled here.
+    /// @return Age; zero if there was none.
+    [[nodiscard]] duration take_oldest_echo() noexcept { return std::exchange(m_oldest_echo, duration{}); }
+
     /// @brief When the platform's store last answered this host.
     /// @return Time; the clock's start if it never has.
     [[nodiscard]] time_point store_answered_at() const noexcept { return m_store_answered; }
@@ -210,6 +219,7 @@
     std::optional<gateway::leader_ref> m_leader;
     election::claim_scope m_scope{{}, false};
     time_point m_heard_more_at{};
+    duration m_oldest_echo{};
     time_point m_leading_since{};
     time_point m_next_probe{};
     time_point m_far_reached_at{};
--- a/src/heathermoor/member/member_messages.cpp
+++ b/src/heathermoor/member/member_messages.cpp
@@ -25,6 +25,19 @@
     return at.time_since_epoch().count();
 }
 
+[[nodiscard]] metrics::work_part part_of(const wire::envelope &message) noexcept {
+    switch(message.body_case()) {
+    case wire::envelope::kPoolBeat:
+        return metrics::work_part::heartbeats;
+    case wire::envelope::kPoolJob:
+    case wire::envelope::kPoolCancelled:
+    case wire::envelope::kPoolAsked:
+        return metrics::work_part::jobs;
+    default:
+        return metrics::work_part::answers;
+    }
+}
+
 } // namespace internal
 
 void member::send(const host_id &to, wire::envelope message) {
@@ -47,6 +60,7 @@
 void member::settle() {
     drain_inbox();
     if(m_leading) {
+        const metrics::work_meter::span work{m_ports.work, metrics::work_part::placing};
         m_scheduler.place(now());
         drain_inbox();
     }
@@ -74,6 +88,7 @@
 }
 
 void member::handle(const wire::envelope &message) {
+    const metrics::work_meter::span work{m_ports.work, internal::part_of(message)};
     switch(message.body_case()) {
     case wire::envelope::kPoolBeat:
         handle_heartbeat(message);
@@ -121,6 +136,9 @@
         m_peers.erase(from);
         return;
     }
+    if(message.echo_us() != 0) {
+        m_oldest_echo = std::max(m_oldest_echo, at - time_point{duration{message.echo_us()}});
+    }
     auto &peer = m_peers[from];
     if(message.incarnation() < raw(peer.process)) {
         return;
@@ -299,6 +317,7 @@
 }
 
 void member::beat(time_point now) {
+    const metrics::work_meter::span work{m_ports.work, metrics::work_part::beating};
     m_next_beat = now + internal::heartbeat_interval;
     wire::envelope message;
     fill_heartbeat(*message.mutable_pool_beat());
--- a/src/heathermoor/metrics/fwd.hpp
+++ b/src/heathermoor/metrics/fwd.hpp
@@ -4,5 +4,8 @@
 
 class summary;
 class text_page;
+class work_clock;
+class work_meter;
+struct work_total;
 
 } // namespace heathermoor::metrics
--- a/tests/support/pool_world.cpp
+++ b/tests/support/pool_world.cpp
@@ -9,6 +9,11 @@
 
 namespace {
 
+/// Processor time does not count in virtual time.
+struct no_work_clock final : metrics::work_clock {
+    [[nodiscard]] duration spent() const override { return {}; }
+};
+
 constexpr duration latency = milliseconds{1};
 constexpr duration order_timeout = milliseconds{200};
 constexpr duration wait_slack = milliseconds{150};
@@ -64,6 +69,8 @@
     bool running{};
     time_point frozen_until{};
     milliseconds clock_error{};
+    no_work_clock work_clock;
+    metrics::work_meter work{work_clock};
     std::unique_ptr<member::member> host;
 };
 
@@ -167,7 +174,7 @@
     for(std::size_t other = 0; other < 2; ++other) {
         settings.seeds.emplace_back(std::to_string(other));
     }
-    state.host = std::make_unique<member::member>(settings, member::ports{state, state, state, state, state});
+    state.host = std::make_unique<member::member>(settings, member::ports{state, state, state, state, state, state.work});
     route::route_config config;
     config.version = config_version{1};
     (void)state.host->apply_config(std::move(config));
