--- a/tests/support/pool_world.cpp
+++ b/tests/support/pool_world.cpp
@@ -30,6 +30,8 @@
     void send(const host_id &to, wire::envelope message) override {
         const auto peer = static_cast<std::size_t>(std::stoul(to.str()));
         const auto from = index;
+        ++messages_sent;
+        bytes_sent += message.ByteSizeLong();
         if(!world.reaches_host(from, peer)) {
             return;
         }
@@ -67,6 +69,9 @@
     std::size_t index;
     std::uint64_t process{};
     bool running{};
+    /// Messages to other hosts and their bytes.
+    std::uint64_t messages_sent{};
+    std::uint64_t bytes_sent{};
     time_point frozen_until{};
     milliseconds clock_error{};
     no_work_clock work_clock;
@@ -496,6 +501,10 @@
     }
 }
 
+peer_traffic pool_world::traffic(std::size_t host) const {
+    return {m_hosts.at(host)->messages_sent, m_hosts.at(host)->bytes_sent};
+}
+
 std::size_t pool_world::leaders() const {
     return static_cast<std::size_t>(
         std::count_if(m_hosts.begin(), m_hosts.end(), [](const auto &state) { return state->running && state->host->leading(); }));
--- a/tests/support/pool_world.hpp
+++ b/tests/support/pool_world.hpp
@@ -22,6 +22,12 @@
     double failing_runs{};
 };
 
+/// @brief What a host has sent to other hosts.
+struct peer_traffic {
+    std::uint64_t messages{};
+    std::uint64_t bytes{};
+};
+
 /// @brief Hosts, targets and callers in virtual time, with the real modules inside.
 class pool_world {
   public:
@@ -68,6 +74,7 @@
     [[nodiscard]] std::uint64_t answered() const noexcept { return m_outcomes[0] + m_outcomes[1] + m_outcomes[2] + m_outcomes[3]; }
     [[nodiscard]] std::uint64_t open() const noexcept { return m_callers.size(); }
     [[nodiscard]] std::uint64_t claims() const noexcept { return m_claims; }
+    [[nodiscard]] peer_traffic traffic(std::size_t host) const;
     [[nodiscard]] member::member &host(std::size_t index);
 
   private:
