Divide large deployments into cells; send heartbeats often to the leader only

Callers saw 504 for most jobs on the grown deployments: every host sent every other one a heartbeat each 100 ms, and one host carried the orders of all 350 targets.

Cause, by process.work: a host of 0.09 core spent 8 of 21 s on heartbeats of a group of 39; the leader spent 7 s on placing, since each event of any target goes over all targets and all jobs. Class of fault: cost for each member that grows with the group.

A failure domain with 40 targets or more is a cell with its own leader, smaller ones share cells as before, larger ones are divided by hash. Within a cell the leader gets and sends heartbeats each 100 ms, others each 400 ms (the receiver learns the interval, so that silence is judged by it); two hosts of each other cell get one a second. Hosts are told on by four at a time.

--- a/src/heathermoor/adapter/zmq_peers.cpp
+++ b/src/heathermoor/adapter/zmq_peers.cpp
@@ -122,6 +122,11 @@
     }
 }
 
+void zmq_peers::disconnect(const host_id &host) {
+    const std::unique_lock lock{m_sockets->mutex};
+    m_sockets->peers.erase(host);
+}
+
 void zmq_peers::send(const host_id &to, wire::envelope message) {
     if(to == m_self) {
         m_deliver(std::move(message));
--- a/src/heathermoor/adapter/zmq_peers.hpp
+++ b/src/heathermoor/adapter/zmq_peers.hpp
@@ -46,6 +46,7 @@
 
     void send(const host_id &to, wire::envelope message) override;
     void connect(const host_id &host, const std::string &address) override;
+    void disconnect(const host_id &host) override;
 
     /// @brief Bytes sent to other hosts.
     /// @return Bytes since the start.
--- a/src/heathermoor/catalog/target_catalog.cpp
+++ b/src/heathermoor/catalog/target_catalog.cpp
@@ -58,26 +58,26 @@
 }
 
 bool target_catalog::expire(time_point now) {
-    std::erase_if(m_dropped, [now](const auto &item) { return now - item.second >= internal::memory_time; });
-    const auto dropped = std::erase_if(m_slots, [&](const auto &item) {
+    std::erase_if(m_dropped, [now](const auto &item) { return now - item.second.at >= internal::memory_time; });
+    const auto count = std::erase_if(m_slots, [&](const auto &item) {
         const auto &removed_at = item.second.removed_at;
         const bool over = removed_at && now - *removed_at >= internal::removal_grace;
         if(over) {
-            m_dropped[item.first] = now;
+            m_dropped[item.first] = {now, item.second.entry.domain};
         }
         return over;
     });
-    m_revision += dropped;
-    return dropped > 0;
+    m_revision += count;
+    return count > 0;
 }
 
-std::set<target_id> target_catalog::known() const {
-    std::set<target_id> result;
+std::map<target_id, failure_domain_id> target_catalog::known() const {
+    std::map<target_id, failure_domain_id> result;
     for(const auto &[id, slot]: m_slots) {
-        result.insert(id);
+        result.emplace(id, slot.entry.domain);
     }
-    for(const auto &[id, at]: m_dropped) {
-        result.insert(id);
+    for(const auto &[id, entry]: m_dropped) {
+        result.emplace(id, entry.domain);
     }
     return result;
 }
--- a/src/heathermoor/catalog/target_catalog.hpp
+++ b/src/heathermoor/catalog/target_catalog.hpp
@@ -5,7 +5,6 @@
 #include "heathermoor/core/time.hpp"
 #include <map>
 #include <optional>
-#include <set>
 #include <string>
 #include <vector>
 
@@ -68,8 +67,8 @@
     [[nodiscard]] std::vector<target_entry> entries() const;
 
     /// @brief Every target that exists or existed within the last minute.
-    /// @return Identifiers.
-    [[nodiscard]] std::set<target_id> known() const;
+    /// @return Failure domains by identifier.
+    [[nodiscard]] std::map<target_id, failure_domain_id> known() const;
 
     /// @brief Records that recreate this catalog elsewhere.
     /// @return Records of all entries.
@@ -92,8 +91,13 @@
     };
 
     std::map<target_id, listed> m_slots;
-    /// When targets were dropped, kept for a while.
-    std::map<target_id, time_point> m_dropped;
+    struct dropped {
+        time_point at;
+        failure_domain_id domain;
+    };
+
+    /// Targets that were dropped, kept for a while.
+    std::map<target_id, dropped> m_dropped;
     log_offset m_next{};
     std::uint64_t m_revision{};
 };
--- a/src/heathermoor/election/leader_election.cpp
+++ b/src/heathermoor/election/leader_election.cpp
@@ -7,8 +7,8 @@
 
 namespace internal {
 
-/// Silence after which a host counts as gone: four heartbeats.
-constexpr milliseconds detection_time{400};
+/// Heartbeats missing after which a host counts as gone.
+constexpr int missing_heartbeats = 4;
 
 /// Time without a leader before one is chosen, so that heartbeats in flight arrive.
 constexpr milliseconds settle_time{60};
@@ -54,7 +54,11 @@
 }
 
 bool leader_election::is_alive(const known_peer &peer, time_point now) const noexcept {
-    return peer.connected && now - peer.heard_at < internal::detection_time;
+    return peer.connected && now - peer.heard_at < peer.state.interval * internal::missing_heartbeats;
+}
+
+void leader_election::retain(const std::function<bool(const host_id &)> &keep) {
+    std::erase_if(m_peers, [&keep](const auto &item) { return !keep(item.first); });
 }
 
 std::vector<host_id> leader_election::alive(time_point now) const {
@@ -125,7 +129,7 @@
 std::optional<host_id> leader_election::decide(time_point now) {
     std::erase_if(m_peers, [now](const auto &item) { return now - item.second.heard_at > internal::membership_time; });
     m_self.hears = static_cast<std::uint32_t>(alive(now).size()) + 1;
-    m_self.listening = now < m_listens_until;
+    m_self.listening = now < m_listens_until || !m_eligible;
     m_self.leading_for = m_self.leading ? now - m_leading_since : duration::zero();
     const auto leader = best_leader(now);
     if(leader) {
@@ -139,7 +143,7 @@
     const bool first = candidate.id == m_self.id;
     const bool patient = !first || leader_elsewhere(now);
     const auto patience = patient ? internal::settle_time + internal::yield_time : internal::settle_time;
-    if((m_self.draining && !candidate.draining) || waited < patience) {
+    if(!m_eligible || (m_self.draining && !candidate.draining) || waited < patience) {
         return std::nullopt;
     }
     m_self.leading = true;
--- a/src/heathermoor/election/leader_election.hpp
+++ b/src/heathermoor/election/leader_election.hpp
@@ -3,6 +3,7 @@
 #include "heathermoor/core/id.hpp"
 #include "heathermoor/core/time.hpp"
 #include "heathermoor/election/claim_scope.hpp"
+#include <functional>
 #include <map>
 #include <optional>
 #include <vector>
@@ -28,6 +29,8 @@
     duration leading_for{};
     /// Host that it takes for the leader; empty for none.
     host_id follows;
+    /// Time until its next heartbeat to this host.
+    milliseconds interval{100};
 };
 
 /// @brief Chooses the host that schedules the pool, from heartbeats alone.
@@ -54,6 +57,14 @@
     /// @param host Host.
     void left(const host_id &host);
 
+    /// @brief Forgets all hosts but some.
+    /// @param keep Tells the hosts to keep.
+    void retain(const std::function<bool(const host_id &)> &keep);
+
+    /// @brief Sets whether this host may take the lead; without targets it may not.
+    /// @param eligible True if it may.
+    void set_eligible(bool eligible) noexcept { m_eligible = eligible; }
+
     /// @brief Changes the own state.
     /// @return Own state.
     [[nodiscard]] peer_state &self() noexcept { return m_self; }
@@ -95,6 +106,7 @@
     time_point m_listens_until;
     time_point m_leaderless_since;
     time_point m_leading_since;
+    bool m_eligible{true};
 };
 
 } // namespace heathermoor::election
--- a/src/heathermoor/member/member.cpp
+++ b/src/heathermoor/member/member.cpp
@@ -5,6 +5,7 @@
 #include "heathermoor/member/convert.hpp"
 #include "heathermoor/member/policy.hpp"
 #include <algorithm>
+#include <fmt/format.h>
 
 namespace heathermoor::member {
 
@@ -29,6 +30,9 @@
 /// Time between records of it in the platform's store, for the case that all hosts are lost.
 constexpr milliseconds keep_interval{5'000};
 
+/// Time after another division into cells in which runs ordered under the former one may be at work.
+constexpr seconds cell_change_time{3};
+
 /// Hosts that get it: enough for several successors to be lost at once.
 constexpr std::size_t experienced_hosts = 8;
 
@@ -43,20 +47,15 @@
 } // namespace internal
 
 member::member(settings options, ports out)
-    : m_settings{std::move(options)}, m_ports{out}, m_election{internal::own_state(m_settings), out.clock.now()},
-      m_gateway{m_settings.self, out.callers, *this, out.clock.now()}, m_scheduler{out.orders, *this,
-                                                                                   lease::token_source{hash64(m_settings.self.str())}} {
+    : m_settings{std::move(options)}, m_ports{out},
+      m_election{internal::own_state(m_settings), out.clock.now()}, m_gateway{m_settings.self, out.callers, *this, out.clock.now()},
+      m_contacts{m_settings.self, m_settings.domain, out.peers}, m_cell{m_cells.of(m_settings.domain, m_settings.self)},
+      m_scheduler{out.orders, *this, lease::token_source{hash64(m_settings.self.str())}} {
     for(const auto &seed: m_settings.seeds) {
         meet(seed);
     }
 }
 
-void member::meet(const host_id &host) {
-    if(host != m_settings.self && m_addresses.insert(host).second) {
-        m_ports.peers.connect(host, "tcp://" + host.str());
-    }
-}
-
 void member::submit_job(gateway::request_token request, job::definition job, const job::queue_policy &queue, duration limit) {
     m_gateway.submit(request, std::move(job), queue, limit, now());
     settle();
@@ -89,6 +88,7 @@
         m_catalog.end_snapshot(at);
     }
     m_catalog.read_to(next);
+    update_cells();
     update_targets();
     settle();
 }
@@ -99,6 +99,41 @@
     }
 }
 
+void member::update_cells() {
+    if(m_cells_revision == m_catalog.revision()) {
+        return;
+    }
+    m_cells_revision = m_catalog.revision();
+    std::map<failure_domain_id, std::size_t> sizes;
+    for(const auto &[id, domain]: m_catalog.known()) {
+        ++sizes[domain];
+    }
+    m_election.set_eligible(!sizes.empty());
+    cell::cell_plan plan{sizes};
+    if(plan == m_cells) {
+        return;
+    }
+    m_cells = std::move(plan);
+    m_cell = m_cells.of(m_settings.domain, m_settings.self);
+    m_cells_changed_at = now();
+    m_targets_due = true;
+    m_contacts.set_plan(m_cells);
+    m_election.retain([this](const host_id &host) { return m_contacts.near(host); });
+    log_event(log_level::info, "member", "cells_changed",
+              {{"cells", m_cells.size()}, {"cell", m_cell.domain}, {"index", m_cell.index}, {"hosts", m_election.members(now()).size()}});
+}
+
+std::set<target_id> member::known_targets(time_point now) const {
+    const bool all = now - m_cells_changed_at < internal::cell_change_time;
+    std::set<target_id> result;
+    for(const auto &[id, domain]: m_catalog.known()) {
+        if(all || m_cells.of(domain, id) == m_cell) {
+            result.insert(id);
+        }
+    }
+    return result;
+}
+
 void member::update_targets() {
     if(!m_leading) {
         return;
@@ -121,12 +156,12 @@
     m_targets_next = m_catalog.next();
     std::vector<pool::scoped_target> targets;
     for(auto &entry: m_catalog.entries()) {
-        if(m_scope.includes(entry)) {
+        if(in_cell(entry) && m_scope.includes(entry)) {
             const auto pause = m_scope.pause(entry);
             targets.push_back({std::move(entry), pause});
         }
     }
-    m_scheduler.set_targets(targets, m_catalog.known(), m_catalog.next());
+    m_scheduler.set_targets(targets, known_targets(at), m_catalog.next());
 }
 
 void member::probe_far_targets(time_point now) {
@@ -136,7 +171,7 @@
     m_next_probe = now + internal::probe_interval;
     int sent = 0;
     for(const auto &entry: m_catalog.entries()) {
-        if(entry.domain != m_settings.domain && sent < internal::probes_at_once) {
+        if(in_cell(entry) && entry.domain != m_settings.domain && sent < internal::probes_at_once) {
             ++sent;
             m_ports.orders.report({{entry.id, entry.address, fencing_token{0}}, pool::report_purpose::probe, {}, {}, {}});
         }
@@ -157,18 +192,22 @@
     }
     if(now >= m_next_keep && m_scope.majority()) {
         m_next_keep = now + internal::keep_interval;
-        m_ports.store.keep(message.pool_learned().SerializeAsString());
+        m_ports.store.keep(fmt::format("{}.{}", m_cell.domain.str(), m_cell.index), message.pool_learned().SerializeAsString());
     }
 }
 
-void member::recall(const std::string &bytes) {
-    wire::pool_experience message;
+void member::recall(const std::vector<std::string> &kept) {
     if(m_experienced || m_leading) {
         return;
     }
-    if(!message.ParseFromString(bytes)) {
-        log_event(log_level::warning, "member", "experience_unreadable", {{"bytes", bytes.size()}});
-        return;
+    wire::pool_experience message;
+    for(const auto &bytes: kept) {
+        wire::pool_experience part;
+        if(!part.ParseFromString(bytes)) {
+            log_event(log_level::warning, "member", "experience_unreadable", {{"bytes", bytes.size()}});
+            continue;
+        }
+        message.MergeFrom(part);
     }
     m_scheduler.recall(from_wire(message));
     log_event(log_level::info, "member", "experience_recalled", {{"queues", message.queues_size()}, {"targets", message.targets_size()}});
@@ -228,12 +267,12 @@
         m_targets_due = true;
         log_event(log_level::info, "member", "lead_taken", {{"term", m_term}, {"hears", m_election.self().hears}});
         update_targets();
-        m_next_beat = now;
+        m_contacts.hasten();
     } else if(!lead && m_leading) {
         log_event(log_level::info, "member", "lead_given_up", {{"term", m_term}, {"follows", chosen ? *chosen : host_id{}}});
         m_leading = false;
         m_scheduler.resign();
-        m_next_beat = now;
+        m_contacts.hasten();
     }
     std::optional<gateway::leader_ref> leader;
     if(lead) {
@@ -249,7 +288,7 @@
             log_level::info, "member", "leader_changed",
             {{"leader", leader ? leader->host : host_id{}}, {"term", leader ? leader->term : leader_term{}}, {"jobs", m_gateway.size()}});
         m_leader = leader;
-        m_next_beat = now;
+        m_contacts.hasten();
         m_gateway.set_leader(leader, now);
     }
 }
@@ -259,6 +298,7 @@
     auto &lag = m_election.self().lag;
     lag = std::max(late, lag * 9 / 10);
     (void)m_catalog.expire(at);
+    update_cells();
     decide_leader(at);
     update_targets();
     probe_far_targets(at);
@@ -270,16 +310,14 @@
         pass_experience_on(at);
     }
     pull_from_peers(at);
-    if(at >= m_next_beat) {
-        beat(at);
-    }
+    beat(at);
     settle();
 }
 
 void member::begin_stop() {
     m_election.self().draining = true;
     decide_leader(now());
-    m_next_beat = now();
+    m_contacts.hasten();
     beat(now());
     settle();
 }
--- a/src/heathermoor/member/member.hpp
+++ b/src/heathermoor/member/member.hpp
@@ -1,6 +1,8 @@
 #pragma once
 
 #include "heathermoor/catalog/target_catalog.hpp"
+#include "heathermoor/cell/cell_plan.hpp"
+#include "heathermoor/contact/contact_book.hpp"
 #include "heathermoor/election/leader_election.hpp"
 #include "heathermoor/gateway/gateway.hpp"
 #include "heathermoor/metrics/work_meter.hpp"
@@ -30,8 +32,9 @@
 class experience_port : public interface {
   public:
     /// @brief Keeps the newest experience; may fail without a word, since the next one follows soon.
+    /// @param name Name under which it replaces what was kept before.
     /// @param bytes Experience, to be given to `member::recall` by later processes.
-    virtual void keep(const std::string &bytes) = 0;
+    virtual void keep(const std::string &name, const std::string &bytes) = 0;
 };
 
 /// @brief Ports of one host of a shared pool.
@@ -86,13 +89,14 @@
     /// @param reachable True after an answer.
     void store_reachable(bool reachable);
 
-    /// @brief Takes over what an earlier process of the pool has kept; ignored once something newer is known.
-    /// @param bytes Experience as it was given to `experience_port::keep`.
-    void recall(const std::string &bytes);
+    /// @brief Takes over what earlier processes have kept; ignored once something newer is known.
+    /// @param kept Experience as it was given to `experience_port::keep`, of all names.
+    void recall(const std::vector<std::string> &kept);
 
-    /// @brief Learns of another host from the platform.
+    /// @brief Learns of another host.
     /// @param host Host.
-    void meet(const host_id &host);
+    /// @param domain Its failure domain; empty if it is not known.
+    void meet(const host_id &host, const failure_domain_id &domain = {}) { m_contacts.meet(host, domain); }
 
     /// @brief Handles a message of another host.
     /// @param message Message.
@@ -161,6 +165,10 @@
     /// @return Age; zero if there was none.
     [[nodiscard]] duration take_oldest_echo() noexcept { return std::exchange(m_oldest_echo, duration{}); }
 
+    /// @brief How the deployment is divided, as this host sees it.
+    /// @return Plan.
+    [[nodiscard]] const cell::cell_plan &cells() const noexcept { return m_cells; }
+
     /// @brief When the platform's store last answered this host.
     /// @return Time; the clock's start if it never has.
     [[nodiscard]] time_point store_answered_at() const noexcept { return m_store_answered; }
@@ -178,7 +186,6 @@
   private:
     /// @brief What is known of another host.
     struct peer_record {
-        time_point heard_at{};
         incarnation process{};
         /// Sender's clock in its latest message.
         std::int64_t last_sent_us{};
@@ -192,10 +199,15 @@
     void send(const host_id &to, wire::envelope message);
     void beat(time_point now);
     void fill_heartbeat(wire::pool_heartbeat &beat);
+    void introduce(const host_id &to);
+    void update_cells();
+    [[nodiscard]] bool in_cell(const catalog::target_entry &target) const { return m_cells.of(target.domain, target.id) == m_cell; }
+    [[nodiscard]] std::set<target_id> known_targets(time_point now) const;
     void drain_inbox();
     void settle();
     void handle(const wire::envelope &message);
     void handle_heartbeat(const wire::envelope &message);
+    void handle_neighbour(const wire::envelope &message, bool gave_up);
     void handle_submit(const wire::envelope &message);
     void handle_query(const wire::envelope &message);
     void handle_answer(const wire::envelope &message);
@@ -212,9 +224,14 @@
     catalog::target_catalog m_catalog;
     election::leader_election m_election;
     gateway::gateway m_gateway;
+    contact::contact_book m_contacts;
+    cell::cell_plan m_cells;
+    /// Cell of this host.
+    cell::cell_id m_cell;
+    std::uint64_t m_cells_revision{};
+    time_point m_cells_changed_at{};
     pool::scheduler m_scheduler;
     std::map<host_id, peer_record> m_peers;
-    std::set<host_id> m_addresses;
     std::deque<wire::envelope> m_inbox;
     std::optional<gateway::leader_ref> m_leader;
     election::claim_scope m_scope{{}, false};
@@ -229,7 +246,6 @@
     bool m_targets_due{};
     std::uint64_t m_targets_revision{};
     log_offset m_targets_next{};
-    time_point m_next_beat{};
     time_point m_next_pull{};
     time_point m_store_answered{};
     time_point m_next_experience{};
--- a/src/heathermoor/member/member_messages.cpp
+++ b/src/heathermoor/member/member_messages.cpp
@@ -9,17 +9,14 @@
 
 namespace internal {
 
-/// Time between heartbeats; a quarter of the time after which a host counts as gone.
-constexpr milliseconds heartbeat_interval{100};
-
 /// Time between requests for a peer's configuration or catalog.
 constexpr milliseconds pull_interval{300};
 
 /// Silence of the platform's store after which peers are asked for the list of targets.
 constexpr milliseconds store_patience{2'500};
 
-/// Time after which a host that is not heard is no longer passed on to others.
-constexpr seconds gossip_time{20};
+/// Time for which a host of another cell that asks is answered.
+constexpr seconds introduction_time{3};
 
 [[nodiscard]] std::int64_t to_us(time_point at) noexcept {
     return at.time_since_epoch().count();
@@ -133,6 +130,7 @@
     const auto &beat = message.pool_beat();
     if(beat.leaving()) {
         m_election.left(from);
+        m_contacts.left(from);
         m_peers.erase(from);
         return;
     }
@@ -144,31 +142,43 @@
         return;
     }
     peer.process = incarnation{message.incarnation()};
-    peer.heard_at = at;
     peer.last_sent_us = message.sent_us();
     peer.term = leader_term{beat.term()};
     peer.config_version = beat.config_version();
     peer.catalog_next = log_offset{beat.catalog_next()};
     const bool gave_up = peer.leading && !beat.leading();
     peer.leading = beat.leading();
+    const failure_domain_id domain{message.domain()};
+    m_contacts.heard(from, domain, at);
+    for(const auto &host: beat.hosts()) {
+        meet(host_id{host.id()}, failure_domain_id{host.domain()});
+    }
+    if(beat.introduces()) {
+        introduce(from);
+    }
+    if(m_cells.of(domain, from) == m_cell) {
+        handle_neighbour(message, gave_up);
+    }
+}
+
+void member::handle_neighbour(const wire::envelope &message, bool gave_up) {
+    const auto at = now();
+    const host_id from{message.from()};
+    const auto &beat = message.pool_beat();
     if(beat.leading() && message.echo_us() != 0) {
         std::set<target_id> idle;
         for(const auto &target: beat.idle_targets()) {
             idle.emplace(target);
         }
-        m_scheduler.note_other(from, std::move(idle), peer.catalog_next, time_point{duration{message.echo_us()}});
+        m_scheduler.note_other(from, std::move(idle), log_offset{beat.catalog_next()}, time_point{duration{message.echo_us()}});
     }
     if(gave_up && m_leading) {
         m_scheduler.reclaim(at);
     }
-    meet(from);
-    for(const auto &address: beat.members()) {
-        meet(host_id{address});
-    }
     election::peer_state state;
     state.id = from;
     state.domain = failure_domain_id{message.domain()};
-    state.process = peer.process;
+    state.process = incarnation{message.incarnation()};
     state.draining = beat.draining();
     state.listening = beat.listening();
     state.leading = beat.leading();
@@ -176,6 +186,7 @@
     state.lag = duration{static_cast<std::int64_t>(beat.lag_us())};
     state.follows = host_id{beat.follows()};
     state.leading_for = duration{static_cast<std::int64_t>(beat.leading_for_us())};
+    state.interval = milliseconds{beat.interval_ms()};
     m_election.heard(state, at);
     if(beat.leading() && m_leader && m_leader->host == from) {
         m_waiting.clear();
@@ -189,6 +200,14 @@
     decide_leader(at);
 }
 
+void member::introduce(const host_id &to) {
+    m_contacts.reach(to, now() + internal::introduction_time);
+    wire::envelope message;
+    fill_heartbeat(*message.mutable_pool_beat());
+    message.mutable_pool_beat()->set_interval_ms(static_cast<std::uint32_t>(milliseconds{internal::introduction_time}.count()));
+    send(to, std::move(message));
+}
+
 void member::handle_submit(const wire::envelope &message) {
     if(!m_leading || message.pool_job().term() != raw(m_term)) {
         return;
@@ -237,6 +256,7 @@
 
 void member::handle_pull(const wire::envelope &message) {
     const host_id from{message.from()};
+    m_contacts.reach(from, now() + internal::introduction_time);
     if(message.pool_pulled().config() && m_routes.configured()) {
         wire::envelope reply;
         *reply.mutable_pool_routes() = to_wire(m_routes.current());
@@ -298,10 +318,10 @@
     beat.set_config_version(m_routes.configured() ? raw(m_routes.current().version) : 0);
     beat.set_catalog_next(raw(m_catalog.next()));
     const auto at = now();
-    for(const auto &[id, peer]: m_peers) {
-        if(at - peer.heard_at < internal::gossip_time) {
-            beat.add_members(id.str());
-        }
+    for(const auto &known: m_contacts.next_gossip(at)) {
+        auto &host = *beat.add_hosts();
+        host.set_id(known.id.str());
+        host.set_domain(known.domain.str());
     }
     if(!m_leading) {
         return;
@@ -317,12 +337,18 @@
 }
 
 void member::beat(time_point now) {
+    const auto due = m_contacts.due(now, [this](const host_id &host) { return m_leading || !m_leader || m_leader->host == host; });
+    if(due.empty()) {
+        return;
+    }
     const metrics::work_meter::span work{m_ports.work, metrics::work_part::beating};
-    m_next_beat = now + internal::heartbeat_interval;
     wire::envelope message;
-    fill_heartbeat(*message.mutable_pool_beat());
-    for(const auto &host: m_addresses) {
-        send(host, message);
+    auto &body = *message.mutable_pool_beat();
+    fill_heartbeat(body);
+    for(const auto &contact: due) {
+        body.set_interval_ms(static_cast<std::uint32_t>(contact.interval.count()));
+        body.set_introduces(!m_peers.contains(contact.id));
+        send(contact.id, message);
     }
 }
 
@@ -349,7 +375,7 @@
 void member::leave() {
     wire::envelope message;
     message.mutable_pool_beat()->set_leaving(true);
-    for(const auto &host: m_addresses) {
+    for(const auto &host: m_contacts.connected()) {
         send(host, message);
     }
 }
--- a/src/heathermoor/port/ports.hpp
+++ b/src/heathermoor/port/ports.hpp
@@ -53,6 +53,10 @@
     /// @param host Host.
     /// @param address Address of its peer socket.
     virtual void connect(const host_id &host, const std::string &address) = 0;
+
+    /// @brief Gives up the connection to a host; messages to it are dropped from now on.
+    /// @param host Host.
+    virtual void disconnect(const host_id &host) = 0;
 };
 
 /// @brief Starts and stops tasks at targets; answers come back as events.
--- a/tests/support/pool_world.cpp
+++ b/tests/support/pool_world.cpp
@@ -43,6 +43,7 @@
         });
     }
     void connect(const host_id &, const std::string &) override {}
+    void disconnect(const host_id &) override {}
 
     void start(const pool::start_order &order) override {
         world.at(latency, [this, order, sender = process] { world.deliver_start(index, sender, order); });
@@ -58,7 +59,7 @@
 
     void reply(gateway::request_token request, const job_id &, const job::answer &answer) override { world.reply(request, answer); }
 
-    void keep(const std::string &bytes) override { world.m_kept = bytes; }
+    void keep(const std::string &, const std::string &bytes) override { world.m_kept = bytes; }
 
     [[nodiscard]] time_point now() const override { return world.m_now; }
     [[nodiscard]] std::chrono::milliseconds unix_now() const override {
@@ -160,7 +161,7 @@
     m_hosts.at(host)->host->apply_catalog(records, log_offset{m_next_offset}, true);
     m_hosts.at(host)->host->store_reachable(true);
     for(std::size_t other = 0; other < m_hosts.size(); ++other) {
-        m_hosts.at(host)->host->meet(host_id{std::to_string(other)});
+        m_hosts.at(host)->host->meet(host_id{std::to_string(other)}, failure_domain_id{fmt::format("d{}", domain_of(other))});
     }
 }
 
@@ -185,7 +186,7 @@
     (void)state.host->apply_config(std::move(config));
     refresh_catalog(host);
     if(!m_kept.empty()) {
-        state.host->recall(m_kept);
+        state.host->recall({m_kept});
     }
     tick(host, state.process);
 }
--- a/tests/support/virtual_system.cpp
+++ b/tests/support/virtual_system.cpp
@@ -49,6 +49,7 @@
     }
 
     void connect(const host_id & /*host*/, const std::string & /*address*/) override {}
+    void disconnect(const host_id & /*host*/) override {}
 
     void send(const host_id &to, wire::envelope message) override {
         const auto copies = to.str() != name && system.chance(system.faults.duplicate) ? 2 : 1;
