Let the largest host of a cell lead

Callers of one failure domain were served a seventh as often as the others: a host of 0.09 core led its cell. Cause: the choice of the leader went by draining, listening, delay and then name. Class of fault: work is given without regard to what the receiver can carry.

The processor of a host is in its settings and its heartbeats; the largest candidate leads, and a leader passes the lead on when a host with twice its processor or more has been there for two seconds (so that a small host that has listened longest after a common start does not stay). The scenario 'The largest host leads' fails without it.

--- a/src/heathermoor/election/leader_election.cpp
+++ b/src/heathermoor/election/leader_election.cpp
@@ -28,6 +28,17 @@
 /// Two leaders that hear the same number of hosts: the longer lead wins by this much at least.
 constexpr milliseconds lead_margin{1'000};
 
+/// A host with this many times the processor of the leader takes the lead over.
+constexpr std::uint32_t much_larger = 2;
+
+/// Time for which such a host has to be there before.
+constexpr seconds larger_time{2};
+
+/// The host does not want the lead, or not for long.
+[[nodiscard]] bool leaves(const peer_state &peer) noexcept {
+    return peer.draining || peer.yielding;
+}
+
 } // namespace internal
 
 leader_election::leader_election(peer_state self, time_point now)
@@ -91,9 +102,9 @@
         }
         return left.id < right.id;
     };
-    const bool only_draining = best_candidate(now).draining;
+    const bool only_leaving = internal::leaves(best_candidate(now));
     const auto consider = [&](const peer_state &peer) {
-        if(peer.leading && peer.draining == only_draining && (!best || better(peer, *best))) {
+        if(peer.leading && internal::leaves(peer) == only_leaving && (!best || better(peer, *best))) {
             best = peer;
         }
     };
@@ -108,7 +119,8 @@
 
 peer_state leader_election::best_candidate(time_point now) const {
     const auto key = [](const peer_state &peer) {
-        return std::tuple{peer.draining, peer.listening, peer.lag > internal::heavy_lag, peer.id};
+        const auto size = -static_cast<std::int64_t>(peer.millicores);
+        return std::tuple{internal::leaves(peer), peer.listening, peer.lag > internal::heavy_lag, size, peer.id};
     };
     auto best = m_self;
     for(const auto &[id, peer]: m_peers) {
@@ -126,11 +138,23 @@
     });
 }
 
+void leader_election::consider_yielding(const peer_state &candidate, time_point now) {
+    const bool larger = m_self.leading && !internal::leaves(candidate) && !candidate.listening && candidate.lag <= internal::heavy_lag &&
+                        candidate.millicores >= std::uint64_t{m_self.millicores} * internal::much_larger && candidate.id != m_self.id;
+    if(!larger) {
+        m_larger_since.reset();
+    } else if(!m_larger_since) {
+        m_larger_since = now;
+    }
+    m_self.yielding = m_larger_since && now - *m_larger_since >= internal::larger_time;
+}
+
 std::optional<host_id> leader_election::decide(time_point now) {
     std::erase_if(m_peers, [now](const auto &item) { return now - item.second.heard_at > internal::membership_time; });
     m_self.hears = static_cast<std::uint32_t>(alive(now).size()) + 1;
     m_self.listening = now < m_listens_until || !m_eligible;
     m_self.leading_for = m_self.leading ? now - m_leading_since : duration::zero();
+    consider_yielding(best_candidate(now), now);
     const auto leader = best_leader(now);
     if(leader) {
         m_self.leading = leader->id == m_self.id;
@@ -143,7 +167,7 @@
     const bool first = candidate.id == m_self.id;
     const bool patient = !first || leader_elsewhere(now);
     const auto patience = patient ? internal::settle_time + internal::yield_time : internal::settle_time;
-    if(!m_eligible || (m_self.draining && !candidate.draining) || waited < patience) {
+    if(!m_eligible || (internal::leaves(m_self) && !internal::leaves(candidate)) || waited < patience) {
         return std::nullopt;
     }
     m_self.leading = true;
--- a/src/heathermoor/election/leader_election.hpp
+++ b/src/heathermoor/election/leader_election.hpp
@@ -29,6 +29,10 @@
     duration leading_for{};
     /// Host that it takes for the leader; empty for none.
     host_id follows;
+    /// Processor that it has, in thousandths of a core.
+    std::uint32_t millicores{};
+    /// The host passes the lead on to a larger one.
+    bool yielding{};
     /// Time until its next heartbeat to this host.
     milliseconds interval{100};
 };
@@ -36,7 +40,8 @@
 /// @brief Chooses the host that schedules the pool, from heartbeats alone.
 ///
 /// Hosts need not agree: a target's fence keeps two schedulers apart. A leader
-/// stays while it is heard, so that the role changes hands only for a cause.
+/// stays while it is heard, so that the role changes hands only for a cause; a
+/// much larger host is one.
 class leader_election {
   public:
     /// @brief Election as one host sees it.
@@ -95,6 +100,7 @@
         bool connected{true};
     };
 
+    void consider_yielding(const peer_state &candidate, time_point now);
     [[nodiscard]] bool is_alive(const known_peer &peer, time_point now) const noexcept;
     [[nodiscard]] std::optional<peer_state> best_leader(time_point now) const;
     [[nodiscard]] bool leader_elsewhere(time_point now) const;
@@ -107,6 +113,8 @@
     time_point m_leaderless_since;
     time_point m_leading_since;
     bool m_eligible{true};
+    /// Since when a much larger host could lead.
+    std::optional<time_point> m_larger_since;
 };
 
 } // namespace heathermoor::election
--- a/src/heathermoor/member/member.cpp
+++ b/src/heathermoor/member/member.cpp
@@ -41,6 +41,7 @@
     state.id = options.self;
     state.domain = options.domain;
     state.process = options.process;
+    state.millicores = options.millicores;
     return state;
 }
 
--- a/src/heathermoor/member/member.hpp
+++ b/src/heathermoor/member/member.hpp
@@ -24,6 +24,8 @@
     host_id self;
     failure_domain_id domain;
     incarnation process{};
+    /// Processor of the host, in thousandths of a core.
+    std::uint32_t millicores{};
     /// Peers known at the start.
     std::vector<host_id> seeds;
 };
--- a/src/heathermoor/member/member_messages.cpp
+++ b/src/heathermoor/member/member_messages.cpp
@@ -181,6 +181,7 @@
     state.process = incarnation{message.incarnation()};
     state.draining = beat.draining();
     state.listening = beat.listening();
+    state.millicores = beat.millicores();
     state.leading = beat.leading();
     state.hears = beat.hears();
     state.lag = duration{static_cast<std::int64_t>(beat.lag_us())};
@@ -304,7 +305,8 @@
 
 void member::fill_heartbeat(wire::pool_heartbeat &beat) {
     const auto &self = m_election.self();
-    beat.set_draining(self.draining);
+    beat.set_draining(self.draining || self.yielding);
+    beat.set_millicores(self.millicores);
     beat.set_listening(self.listening);
     beat.set_leading(m_leading);
     beat.set_term(raw(m_term));
--- a/tests/contact/contact_book.cpp
+++ b/tests/contact/contact_book.cpp
@@ -51,8 +51,8 @@
             }
         }
         book.set_plan(plan_of(domains));
-        (void)book.due(now, urgent);
         THEN("it is connected to its neighbours and to at most eight others") {
+            (void)book.due(now, urgent);
             CHECK(peers.open.size() == 8 + 8);
             CHECK(book.near(host_id{"0-5"}));
             CHECK_FALSE(book.near(host_id{"3-5"}));
@@ -62,6 +62,7 @@
             CHECK(beats_of(host_id{"0-2"}, seconds{2}) == 5);
         }
         THEN("another host is connected to for as long as it is needed") {
+            (void)book.due(now, urgent);
             host_id far;
             for(const auto *name: {"5-0", "5-1", "5-2"}) {
                 far = peers.open.contains(host_id{name}) ? far : host_id{name};
--- a/tests/election/leader_election.cpp
+++ b/tests/election/leader_election.cpp
@@ -14,9 +14,10 @@
 
 /// Hosts that hear each other's heartbeats at once.
 struct hosts {
-    void start(const std::string &name) {
+    void start(const std::string &name, std::uint32_t millicores = 0) {
         peer_state self;
         self.id = host_id{name};
+        self.millicores = millicores;
         all.emplace(name, leader_election{self, now});
     }
 
@@ -76,3 +77,46 @@
     world.pass(seconds{2});
     CHECK(world.leaders() == std::vector<std::string>{"b"});
 }
+
+// Guards against issue 18: a host of 0.09 core led a cell with hosts of 0.5 core, and served a seventh of its callers.
+SCENARIO("The largest host leads", "[election]") {
+    hosts world;
+    GIVEN("hosts that start together") {
+        world.start("a", 90);
+        world.start("b", 500);
+        world.start("c", 300);
+        world.pass(seconds{2});
+        THEN("the largest leads, whatever its name") {
+            CHECK(world.leaders() == std::vector<std::string>{"b"});
+        }
+    }
+    GIVEN("a small host that leads before a much larger one comes") {
+        world.start("a", 90);
+        world.pass(seconds{1});
+        REQUIRE(world.leaders() == std::vector<std::string>{"a"});
+        world.start("b", 500);
+        WHEN("the larger one has been there for some time") {
+            world.pass(seconds{4});
+            THEN("it has taken the lead and keeps it") {
+                CHECK(world.leaders() == std::vector<std::string>{"b"});
+                world.pass(seconds{10});
+                CHECK(world.leaders() == std::vector<std::string>{"b"});
+            }
+        }
+        WHEN("it has only just come") {
+            world.pass(seconds{1});
+            THEN("the lead stays where it is") {
+                CHECK(world.leaders() == std::vector<std::string>{"a"});
+            }
+        }
+    }
+    GIVEN("a leader beside a host that is not much larger") {
+        world.start("a", 300);
+        world.pass(seconds{1});
+        world.start("b", 500);
+        world.pass(seconds{6});
+        THEN("the lead stays where it is") {
+            CHECK(world.leaders() == std::vector<std::string>{"a"});
+        }
+    }
+}
--- a/tests/platform/settings.cpp
+++ b/tests/platform/settings.cpp
@@ -16,7 +16,8 @@
 
 const std::string whole =
     R"({"node":"front-1","ip":"10.1.0.13","zone":"caroni","listen":{"front":"10.1.0.13:8161","ready":"10.1.0.13:8167"},
-    "internal_ports":[7720,7735],"seeds":["10.1.0.13:8166"],"platform":{"address":"10.200.1.7:8169"},"bounds":{"grace_s":6},"new":{}})";
+    "internal_ports":[7720,7735],"seeds":["10.1.0.13:8166"],"platform":{"address":"10.200.1.7:8169"},"bounds":{"grace_s":6},
+    "limits":{"cpu_share":0.25,"cores":2},"new":{}})";
 
 } // namespace
 
@@ -26,6 +27,7 @@
     CHECK(good.value.peer_port == 7'720);
     CHECK(good.value.seed_ips == std::vector<std::string>{"10.1.0.13"});
     CHECK(good.value.stop_limit == milliseconds{6'000});
+    CHECK(good.value.millicores == 500);
 
     const auto field = [](const std::string &text) {
         const auto result = parse_settings(text);
@@ -40,4 +42,5 @@
     CHECK(field(replaced(whole, R"(["10.1.0.13:8166"])", "[3]")) == "seeds");
     CHECK(field(replaced(whole, "10.200.1.7:8169", "10.200.1.7")) == "platform.address");
     CHECK(field(replaced(whole, R"("grace_s":6)", R"("grace_s":"x")")) == "bounds.grace_s");
+    CHECK(field(replaced(whole, R"("cpu_share":0.25)", R"("cpu_share":-1)")) == "limits.cpu_share");
 }
