Believe a refusal only of a leader that has had the job alone

Cause: a gateway that hears two leaders by turns hands a job to the first, to the second and to the first again; a refusal that the first sent before it got the job the second time arrives when it is the current leader again, and is true only of the first one's own copy. Leader and term match, so that nothing told the two apart. Class of fault: an answer that was overtaken by what was asked since. Kin looked for: answers of 'no record' are harmless (they lead to another hand-over with 'may have run'); completed and failed are final whoever sends them; a leader itself refuses no job that was handed over before.

Now a refusal of a job that was handed over more than once is passed on as unknown. The scenario in tests/gateway fails before and passes after.

--- a/src/heathermoor/gateway/gateway.cpp
+++ b/src/heathermoor/gateway/gateway.cpp
@@ -57,6 +57,7 @@
 void gateway::hand(open_job &job, time_point now) {
     pool::submission work;
     work.may_have_run = job.ever_handed;
+    job.handed_again = job.ever_handed;
     job.handed = true;
     job.ever_handed = true;
     job.asked_at = now;
@@ -113,9 +114,11 @@
     }
     const bool final = job::is_final(answer.result);
     const bool current = m_leader && *m_leader == from;
-    if(final || current) {
-        end(id, answer, now);
+    if(!final && !current) {
+        return;
     }
+    const bool untold = answer.result == job::outcome::refused && entry->second.handed_again;
+    end(id, untold ? job::answer{job::outcome::unknown, errc::leader_lost, {}} : answer, now);
 }
 
 void gateway::not_known(const leader_ref &from, const job_id &id, time_point now) {
--- a/src/heathermoor/gateway/gateway.hpp
+++ b/src/heathermoor/gateway/gateway.hpp
@@ -146,6 +146,8 @@
         bool handed{};
         /// Handed to any leader, ever.
         bool ever_handed{};
+        /// Handed over more than once: no single leader can tell that it has not run.
+        bool handed_again{};
         time_point asked_at;
         /// When no run ordered by an earlier leader can be at work.
         time_point clear_at;
--- a/tests/gateway/gateway.cpp
+++ b/tests/gateway/gateway.cpp
@@ -49,3 +49,49 @@
         }
     }
 }
+
+// Guards against issue 18: a caller was told that its job had not run, though a second leader had started it.
+SCENARIO("A refusal counts only while a single leader has had the job", "[gateway]") {
+    set_log_level(log_level::error);
+    recorded_ports out;
+    const time_point started{seconds{500}};
+    const gateway::leader_ref first{host_id{"b"}, leader_term{1}};
+    const gateway::leader_ref second{host_id{"c"}, leader_term{2}};
+    const job::answer refusal{job::outcome::refused, errc::overloaded, milliseconds{100}};
+    gateway::gateway gateway{host_id{"a"}, out, out, started};
+    job::definition job;
+    job.id = job_id{"00000000000000aa"};
+    job.steps.push_back({1, {1'000, 1, 0}, milliseconds{50}, {}, {}, {}, 0});
+    gateway.set_leader(first, started);
+    gateway.submit(gateway::request_token{1}, job, {}, milliseconds{1'500}, started);
+
+    GIVEN("the only leader that has had it") {
+        gateway.answered(first, job.id, refusal, started + milliseconds{50});
+        THEN("its refusal is passed on") {
+            REQUIRE(out.answers.size() == 1);
+            CHECK(out.answers.front().result == job::outcome::refused);
+        }
+    }
+    GIVEN("a job that went to a second leader and back, as the leaders were heard") {
+        gateway.set_leader(second, started + milliseconds{20});
+        gateway.set_leader(first, started + milliseconds{40});
+        WHEN("a refusal arrives that the first leader sent before it heard of that") {
+            gateway.answered(first, job.id, refusal, started + milliseconds{41});
+            THEN("the caller is told that the outcome is not known") {
+                REQUIRE(out.answers.size() == 1);
+                CHECK(out.answers.front().result == job::outcome::unknown);
+                CHECK(out.answers.front().reason == errc::leader_lost);
+            }
+        }
+    }
+    GIVEN("a job of which the leader had no record, so that it was handed over again") {
+        gateway.not_known(first, job.id, started + milliseconds{300});
+        WHEN("a refusal of the first copy arrives") {
+            gateway.answered(first, job.id, refusal, started + milliseconds{301});
+            THEN("the caller is told that the outcome is not known") {
+                REQUIRE(out.answers.size() == 1);
+                CHECK(out.answers.front().result == job::outcome::unknown);
+            }
+        }
+    }
+}
