--- a/src/heathermoor/election/leader_election.cpp
+++ b/src/heathermoor/election/leader_election.cpp
@@ -139,8 +139,9 @@
 }
 
 void leader_election::consider_yielding(const peer_state &candidate, time_point now) {
+    const auto enough = std::max<std::uint64_t>(1, std::uint64_t{m_self.millicores} * internal::much_larger);
     const bool larger = m_self.leading && !internal::leaves(candidate) && !candidate.listening && candidate.lag <= internal::heavy_lag &&
-                        candidate.millicores >= std::uint64_t{m_self.millicores} * internal::much_larger && candidate.id != m_self.id;
+                        candidate.millicores >= enough && candidate.id != m_self.id;
     if(!larger) {
         m_larger_since.reset();
     } else if(!m_larger_since) {
--- a/tests/election/leader_election.cpp
+++ b/tests/election/leader_election.cpp
@@ -110,6 +110,15 @@
             }
         }
     }
+    GIVEN("hosts whose size is not known") {
+        world.start("b");
+        world.pass(seconds{1});
+        world.start("a");
+        world.pass(seconds{6});
+        THEN("the lead stays where it is") {
+            CHECK(world.leaders() == std::vector<std::string>{"b"});
+        }
+    }
     GIVEN("a leader beside a host that is not much larger") {
         world.start("a", 300);
         world.pass(seconds{1});
