Allow for the own delay before others are taken for gone

In the timeline the second host of the group took the lead beside the leader eleven times, though it had lost nobody but the one that was late; and hosts whose own timer was late by over 400 ms took every other one for gone. Class of fault: a slow member accuses the others (Lifeguard's point). Silence now counts from the own timer's delay on, by one second at most. The scenario 'A host that is late itself does not take the others for gone' fails before.

--- a/src/heathermoor/election/leader_election.cpp
+++ b/src/heathermoor/election/leader_election.cpp
@@ -28,6 +28,9 @@
 /// Two leaders that hear the same number of hosts: the longer lead wins by this much at least.
 constexpr milliseconds lead_margin{1'000};
 
+/// Longest own delay that is allowed for when others are judged by their silence.
+constexpr seconds most_allowance{1};
+
 /// A host with this many times the processor of the leader takes the lead over.
 constexpr std::uint32_t much_larger = 2;
 
@@ -65,7 +68,8 @@
 }
 
 bool leader_election::is_alive(const known_peer &peer, time_point now) const noexcept {
-    return peer.connected && now - peer.heard_at < peer.state.interval * internal::missing_heartbeats;
+    const auto allowance = std::min<duration>(m_self.lag, internal::most_allowance);
+    return peer.connected && now - peer.heard_at < peer.state.interval * internal::missing_heartbeats + allowance;
 }
 
 void leader_election::retain(const std::function<bool(const host_id &)> &keep) {
--- a/tests/election/leader_election.cpp
+++ b/tests/election/leader_election.cpp
@@ -129,3 +129,40 @@
         }
     }
 }
+
+// Guards against issue 18: a host whose own timer was late took all others for gone, and began to lead beside the leader.
+SCENARIO("A host that is late itself does not take the others for gone", "[election]") {
+    time_point now{seconds{100}};
+    peer_state self;
+    self.id = host_id{"a"};
+    leader_election late{self, now};
+    peer_state leader;
+    leader.id = host_id{"b"};
+    leader.leading = true;
+    for(int count = 0; count < 10; ++count) {
+        now += beat;
+        late.heard(leader, now);
+        (void)late.decide(now);
+    }
+    REQUIRE(late.decide(now) == host_id{"b"});
+    GIVEN("no heartbeat was read because its own timer was late by as much") {
+        now += milliseconds{600};
+        late.self().lag = milliseconds{590};
+        THEN("the leader stays") {
+            CHECK(late.decide(now) == host_id{"b"});
+        }
+    }
+    GIVEN("no heartbeat came though its own timer was punctual") {
+        now += milliseconds{600};
+        THEN("the leader is gone") {
+            CHECK(late.decide(now) != host_id{"b"});
+        }
+    }
+    GIVEN("a delay of its own that is over all measure") {
+        now += seconds{5};
+        late.self().lag = seconds{5};
+        THEN("the leader is gone") {
+            CHECK(late.decide(now) != host_id{"b"});
+        }
+    }
+}
