Doubt a silent entry host before its jobs end

In the timeline the leader, late by half a second itself, counted all 38 entry hosts as lost at once, once or twice a second, and stopped everything that ran for them; recovery cost more than what it recovered. Class of fault: overload that feeds itself through its own recovery.

A host that is silent for 450 ms is doubted for 300 ms more: nothing is started for it, no lease that covers one of its runs is renewed, and no start that would extend such a lease is sent. So its runs end no later than before where the target cannot be reached (450 + 765 + 60 ms); where it can, the stop comes at 750 ms in place of 450, inside the callers' 1,300.

--- a/src/heathermoor/pool/scheduler.cpp
+++ b/src/heathermoor/pool/scheduler.cpp
@@ -32,6 +32,10 @@
 /// Time in which all targets can be asked what they run for an earlier scheduler.
 constexpr milliseconds proof_time{250};
 
+/// Time for which a silent entry host is doubted before its jobs end: nothing is
+/// started for it and no lease renewed, so that its runs end no later for it.
+constexpr milliseconds doubt_time{300};
+
 } // namespace internal
 
 void scheduler::set_targets(const std::vector<scoped_target> &targets, std::set<target_id> known, log_offset catalog_next) {
@@ -461,6 +465,13 @@
     }
 }
 
+bool scheduler::may_renew(const std::unordered_map<job::task_ref, lease::run_entry> &runs, time_point now) const {
+    return std::all_of(runs.begin(), runs.end(), [&](const auto &item) {
+        const auto found = m_jobs.find(item.first.job);
+        return found == m_jobs.end() || found->second.closing || vouched(found->second, now);
+    });
+}
+
 void scheduler::target_restarted(const target_id &target) {
     m_speeds.forget(target);
     m_target_states.erase(target);
@@ -501,7 +512,7 @@
 void scheduler::drop_lost_hosts(time_point now) {
     std::vector<host_id> lost;
     std::erase_if(m_vouched, [&](const auto &item) {
-        const bool silent = now >= item.second;
+        const bool silent = now >= item.second + internal::doubt_time;
         if(silent) {
             lost.push_back(item.first);
         }
--- a/src/heathermoor/pool/scheduler.hpp
+++ b/src/heathermoor/pool/scheduler.hpp
@@ -160,6 +160,7 @@
     void run_found(const target_id &target, const lease::found_run &run, time_point now) override;
     void target_taken(const target_id &target, const std::vector<job::task_ref> &runs, time_point lapse, time_point now) override;
     void target_restarted(const target_id &target) override;
+    [[nodiscard]] bool may_renew(const std::unordered_map<job::task_ref, lease::run_entry> &runs, time_point now) const override;
 
   private:
     enum class slot_state : std::uint8_t {
@@ -273,6 +274,8 @@
     [[nodiscard]] duration objective(const open_job &job) const;
     [[nodiscard]] std::vector<open_job *> waiting_in_order(time_point now);
     [[nodiscard]] std::vector<candidate> candidates(time_point now);
+    [[nodiscard]] candidate *choose_startable(const open_job &job, const task_slot &slot, const speed_range &speeds,
+                                              std::vector<candidate> &room, time_point now) const;
     [[nodiscard]] candidate *choose(const open_job &job, const task_slot &slot, const speed_range &speeds,
                                     std::vector<candidate> &room) const;
     [[nodiscard]] static bool suits(const open_job &job, const task_slot &slot, const candidate &one);
--- a/src/heathermoor/pool/scheduler_placing.cpp
+++ b/src/heathermoor/pool/scheduler_placing.cpp
@@ -120,6 +120,17 @@
     return best;
 }
 
+scheduler::candidate *scheduler::choose_startable(const open_job &job, const task_slot &slot, const speed_range &speeds,
+                                                  std::vector<candidate> &room, time_point now) const {
+    auto *chosen = choose(job, slot, speeds, room);
+    while(chosen != nullptr && !may_renew(chosen->target->ledger.runs(), now)) {
+        // A start would extend the lease of everything on the target.
+        chosen->free = {};
+        chosen = choose(job, slot, speeds, room);
+    }
+    return chosen;
+}
+
 bool scheduler::suits(const open_job &job, const task_slot &slot, const candidate &one) {
     const auto &step = job.job.steps[slot.step];
     const auto &entry = one.target->entry;
@@ -153,7 +164,7 @@
         if(slot.state != slot_state::waiting || !step_ready(job, slot.step)) {
             continue;
         }
-        auto *chosen = choose(job, slot, speeds, room);
+        auto *chosen = choose_startable(job, slot, speeds, room, now);
         if(chosen == nullptr) {
             return;
         }
--- a/src/heathermoor/pool/target_holder.cpp
+++ b/src/heathermoor/pool/target_holder.cpp
@@ -267,8 +267,8 @@
     m_orders.report({address_of(target), report_purpose::claim, std::nullopt, target.ledger.last_end(), milliseconds{0}});
 }
 
-void target_holder::ask_lease(report_order &order, held_target &target, time_point now) {
-    if(target.silent || !target.ledger.busy() || target.ledger.has_foreign_run()) {
+void target_holder::ask_lease(report_order &order, held_target &target, time_point now) const {
+    if(target.silent || !target.ledger.busy() || target.ledger.has_foreign_run() || !m_listener.may_renew(target.ledger.runs(), now)) {
         return;
     }
     order.until = target.ledger.lease_until(internal::lease_length, now);
--- a/src/heathermoor/pool/target_holder.hpp
+++ b/src/heathermoor/pool/target_holder.hpp
@@ -8,6 +8,7 @@
 #include "heathermoor/pool/ports.hpp"
 #include <map>
 #include <set>
+#include <unordered_map>
 #include <vector>
 
 namespace heathermoor::pool {
@@ -34,6 +35,12 @@
     /// @param now Current time.
     virtual void target_taken(const target_id &target, const std::vector<job::task_ref> &runs, time_point lapse, time_point now) = 0;
 
+    /// @brief Whether the lease of what runs on a target may be extended.
+    /// @param runs Runs on the target.
+    /// @param now Current time.
+    /// @return False while it is in doubt that somebody waits for one of them.
+    [[nodiscard]] virtual bool may_renew(const std::unordered_map<job::task_ref, lease::run_entry> &runs, time_point now) const = 0;
+
     /// @brief A target has restarted, perhaps as another kind.
     /// @param target Target.
     virtual void target_restarted(const target_id &target) = 0;
@@ -182,7 +189,7 @@
   private:
     void claim(held_target &target, milliseconds unix_now);
     /// Asks for a lease, unless the target is silent: its runs then have to lapse so that they can go elsewhere.
-    static void ask_lease(report_order &order, held_target &target, time_point now);
+    void ask_lease(report_order &order, held_target &target, time_point now) const;
     void follow(held_target &target, time_point now);
     void renew(held_target &target, time_point now);
     void resolve_doubts(held_target &target, time_point now);
