Follow no leader before the list of targets is known; prove nothing across cells

Two faults, each with a test that failed before: a host takes part in the choice of a leader only once it knows the targets (it asks its peers for them at once, not after 2.5 s of the store's silence); what other leaders have said is forgotten when the division into cells changes, so that a job from another cell waits until its runs there have ended.

--- a/src/heathermoor/election/leader_election.cpp
+++ b/src/heathermoor/election/leader_election.cpp
@@ -157,7 +157,12 @@
 std::optional<host_id> leader_election::decide(time_point now) {
     std::erase_if(m_peers, [now](const auto &item) { return now - item.second.heard_at > internal::membership_time; });
     m_self.hears = static_cast<std::uint32_t>(alive(now).size()) + 1;
-    m_self.listening = now < m_listens_until || !m_eligible;
+    m_self.listening = now < m_listens_until || !m_taking_part;
+    if(!m_taking_part) {
+        m_self.leading = false;
+        m_leaderless_since = now;
+        return std::nullopt;
+    }
     m_self.leading_for = m_self.leading ? now - m_leading_since : duration::zero();
     consider_yielding(best_candidate(now), now);
     const auto leader = best_leader(now);
@@ -172,7 +177,7 @@
     const bool first = candidate.id == m_self.id;
     const bool patient = !first || leader_elsewhere(now);
     const auto patience = patient ? internal::settle_time + internal::yield_time : internal::settle_time;
-    if(!m_eligible || (internal::leaves(m_self) && !internal::leaves(candidate)) || waited < patience) {
+    if((internal::leaves(m_self) && !internal::leaves(candidate)) || waited < patience) {
         return std::nullopt;
     }
     m_self.leading = true;
--- a/src/heathermoor/election/leader_election.hpp
+++ b/src/heathermoor/election/leader_election.hpp
@@ -66,9 +66,10 @@
     /// @param keep Tells the hosts to keep.
     void retain(const std::function<bool(const host_id &)> &keep);
 
-    /// @brief Sets whether this host may take the lead; without targets it may not.
-    /// @param eligible True if it may.
-    void set_eligible(bool eligible) noexcept { m_eligible = eligible; }
+    /// @brief Sets whether this host takes part. Without a list of targets it knows neither its
+    /// cell nor, therefore, which leader is its own.
+    /// @param taking_part True if it leads or follows.
+    void take_part(bool taking_part) noexcept { m_taking_part = taking_part; }
 
     /// @brief Changes the own state.
     /// @return Own state.
@@ -112,7 +113,7 @@
     time_point m_listens_until;
     time_point m_leaderless_since;
     time_point m_leading_since;
-    bool m_eligible{true};
+    bool m_taking_part{true};
     /// Since when a much larger host could lead.
     std::optional<time_point> m_larger_since;
 };
--- a/src/heathermoor/member/member.cpp
+++ b/src/heathermoor/member/member.cpp
@@ -52,6 +52,7 @@
       m_election{internal::own_state(m_settings), out.clock.now()}, m_gateway{m_settings.self, out.callers, *this, out.clock.now()},
       m_contacts{m_settings.self, m_settings.domain, out.peers}, m_cell{m_cells.of(m_settings.domain, m_settings.self)},
       m_scheduler{out.orders, *this, lease::token_source{hash64(m_settings.self.str())}} {
+    m_election.take_part(false);
     for(const auto &seed: m_settings.seeds) {
         meet(seed);
     }
@@ -109,7 +110,7 @@
     for(const auto &[id, domain]: m_catalog.known()) {
         ++sizes[domain];
     }
-    m_election.set_eligible(!sizes.empty());
+    m_election.take_part(!sizes.empty());
     cell::cell_plan plan{sizes};
     if(plan == m_cells) {
         return;
@@ -118,6 +119,7 @@
     m_cell = m_cells.of(m_settings.domain, m_settings.self);
     m_cells_changed_at = now();
     m_targets_due = true;
+    m_scheduler.forget_others();
     m_contacts.set_plan(m_cells);
     m_election.retain([this](const host_id &host) { return m_contacts.near(host); });
     log_event(log_level::info, "member", "cells_changed",
--- a/src/heathermoor/member/member_messages.cpp
+++ b/src/heathermoor/member/member_messages.cpp
@@ -359,7 +359,7 @@
         return;
     }
     const auto own_version = m_routes.configured() ? raw(m_routes.current().version) : 0;
-    const bool store_silent = now - m_store_answered > internal::store_patience;
+    const bool store_silent = now - m_store_answered > internal::store_patience || m_catalog.revision() == 0;
     for(const auto &[id, peer]: m_peers) {
         const bool newer_config = peer.config_version > own_version;
         const bool newer_catalog = store_silent && peer.catalog_next > m_catalog.next();
--- a/src/heathermoor/pool/scheduler.hpp
+++ b/src/heathermoor/pool/scheduler.hpp
@@ -111,6 +111,9 @@
     /// @param said_at Time on this host's clock after which it said so.
     void note_other(const host_id &host, std::set<target_id> idle, log_offset catalog_next, time_point said_at);
 
+    /// @brief Forgets what other schedulers have said: their targets are no longer those of this one.
+    void forget_others() noexcept { m_others.clear(); }
+
     /// @brief Names the targets on which nothing ordered here can be at work.
     /// @param now Current time.
     /// @return Targets.
--- /dev/null
+++ b/tests/member/cells.cpp
@@ -0,0 +1,84 @@
+#include "support/pool_world.hpp"
+
+#include "heathermoor/core/log.hpp"
+#include <catch2/catch.hpp>
+
+using namespace heathermoor;
+using test::pool_world;
+
+namespace {
+
+constexpr std::size_t hosts_per_domain = 3;
+
+/// Failure domain of a host by its name in a world.
+[[nodiscard]] std::size_t domain_of(const host_id &host) {
+    return static_cast<std::size_t>(std::stoul(host.str())) / hosts_per_domain;
+}
+
+void finish(pool_world &world) {
+    world.set_load(0);
+    world.run(seconds{8});
+    INFO((world.broken().empty() ? std::string{} : world.broken().front()));
+    CHECK(world.broken().empty());
+    CHECK(world.open() == 0);
+}
+
+} // namespace
+
+SCENARIO("Failure domains with many targets are scheduled on their own", "[member][fault][group]") {
+    set_log_level(log_level::error);
+    pool_world::options options;
+    options.domains = 2;
+    options.hosts_per_domain = hosts_per_domain;
+    options.targets_per_domain = 50;
+    pool_world world{options};
+    world.run(seconds{3});
+    REQUIRE(world.leaders() == 2);
+    world.set_load(60);
+    world.run(seconds{1});
+
+    // Guards against a hunt's finding (bw-sched-grown, mix, seed 191536029579): a host that had not read the list of
+    // targets followed the leaders of several cells by turns, and a job ran in two of them at once.
+    GIVEN("a host that starts while the platform's store is away") {
+        constexpr std::size_t host = 5;
+        world.kill(host);
+        world.run(seconds{1});
+        world.cut_store(true);
+        world.start(host);
+        bool followed_others = false;
+        for(int step = 0; step < 120; ++step) {
+            world.run(milliseconds{25});
+            const auto &leader = world.host(host).leader();
+            followed_others = followed_others || (leader && domain_of(leader->host) != host / hosts_per_domain);
+        }
+        THEN("it follows no leader but that of its cell, once its peers have told it the targets") {
+            CHECK_FALSE(followed_others);
+            CHECK(world.host(host).leader().has_value());
+            world.cut_store(false);
+            finish(world);
+        }
+    }
+    GIVEN("a failure domain that is cut off and comes back") {
+        const auto before = world.claims();
+        world.cut_domain(1, true);
+        world.run(seconds{3});
+        world.cut_domain(1, false);
+        world.run(seconds{2});
+        THEN("no leader changes and no target is claimed again") {
+            CHECK(world.leaders() == 2);
+            CHECK(world.claims() == before);
+            finish(world);
+        }
+    }
+    GIVEN("leaders that are killed one after the other") {
+        for(int round = 0; round < 2; ++round) {
+            const auto victim = world.leader();
+            world.kill(victim);
+            world.run(seconds{2});
+            CHECK(world.leaders() == 2);
+            world.start(victim);
+            world.run(seconds{1});
+        }
+        finish(world);
+    }
+}
--- a/tests/pool/scheduler.cpp
+++ b/tests/pool/scheduler.cpp
@@ -422,3 +422,43 @@
         }
     }
 }
+
+// Guards against a hunt's finding (bw-sched-grown, mix, seed 191536029579): a leader started a job that came from the leader
+// of another cell as soon as its own targets had given their account.
+SCENARIO("The account of the own targets proves nothing of a leader in another cell", "[pool]") {
+    hand_driven bench;
+    bench.add_targets(1);
+    bench.work.note_other(host_id{"leader"}, {}, log_offset{1}, bench.now);
+    const auto hand_over = [&bench] {
+        submission one;
+        one.job.id = job_id{"one"};
+        one.job.steps.push_back({1, {task_cpu, 10, 0}, declared, {}, {}, {}, 0});
+        one.queue.service = service_id{"s"};
+        one.from = host_id{"a"};
+        one.remaining = milliseconds{1'500};
+        one.clear_in = milliseconds{1'275};
+        one.may_have_run = true;
+        one.earlier = host_id{"leader"};
+        bench.work.submit(std::move(one), bench.now);
+        bench.now += milliseconds{5};
+        bench.answer_reports();
+        bench.tick();
+    };
+    GIVEN("an earlier leader that shared the targets") {
+        hand_over();
+        THEN("the job is started once all of them have answered") {
+            CHECK(bench.starts.size() == 1);
+        }
+    }
+    GIVEN("an earlier leader whose cell has become another one") {
+        bench.work.forget_others();
+        hand_over();
+        THEN("the job waits until its runs there have ended") {
+            CHECK(bench.starts.empty());
+            bench.now += milliseconds{1'280};
+            bench.tick();
+            bench.answer_reports();
+            CHECK(bench.starts.size() == 1);
+        }
+    }
+}
--- a/tests/support/pool_world.cpp
+++ b/tests/support/pool_world.cpp
@@ -152,6 +152,9 @@
 }
 
 void pool_world::refresh_catalog(std::size_t host) {
+    if(m_store_cut) {
+        return;
+    }
     std::vector<catalog::catalog_record> records;
     for(std::size_t index = 0; index < m_targets.size(); ++index) {
         if(!m_unlisted[index]) {
--- a/tests/support/pool_world.hpp
+++ b/tests/support/pool_world.hpp
@@ -61,6 +61,8 @@
     void cut_target(std::size_t target, bool cut);
     void reboot_target(std::size_t target);
     void unlist_target(std::size_t target, bool unlisted);
+    /// @brief Takes the platform's store away from all hosts, or gives it back.
+    void cut_store(bool cut) { m_store_cut = cut; }
     void set_faults(world_faults faults) { m_faults = faults; }
 
     /// @brief Broken promises, a line each.
@@ -128,6 +130,7 @@
     std::vector<model::target> m_targets;
     std::vector<bool> m_unlisted;
     std::map<target_id, std::size_t> m_target_index;
+    bool m_store_cut{};
     std::set<std::uint32_t> m_cut_domains;
     std::set<std::size_t> m_cut_hosts;
     std::set<std::size_t> m_cut_targets;
