--- a/src/heathermoor/adapter/service_metrics.cpp
+++ b/src/heathermoor/adapter/service_metrics.cpp
@@ -18,8 +18,8 @@
 }
 
 /// Raises a counter to a total that is counted elsewhere.
-void raise_to(prometheus::Counter &counter, std::uint64_t total) {
-    const auto missing = static_cast<double>(total) - counter.Value();
+void raise_to(prometheus::Counter &counter, double total) {
+    const auto missing = total - counter.Value();
     if(missing > 0) {
         counter.Increment(missing);
     }
@@ -56,6 +56,15 @@
     prometheus::Counter &target_claims = counter("heathermoor_target_claims_total", "Claims of targets.");
     prometheus::Counter &calls = counter("heathermoor_calls_total", "Calls to targets and the store.");
     prometheus::Counter &connections = counter("heathermoor_connections_total", "Connections made to targets and the store.");
+    prometheus::Family<prometheus::Counter> &work = prometheus::BuildCounter()
+                                                        .Name("heathermoor_work_seconds_total")
+                                                        .Help("Processor time of the event loop's thread, by part.")
+                                                        .Register(registry);
+    prometheus::Counter &messages_sent = counter("heathermoor_peer_messages_sent_total", "Messages sent to other hosts.");
+    prometheus::Counter &messages_dropped =
+        counter("heathermoor_peer_messages_dropped_total", "Messages to other hosts dropped for want of a connection.");
+    prometheus::Counter &bytes_sent = counter("heathermoor_peer_bytes_sent_total", "Bytes sent to other hosts.");
+    prometheus::Counter &bytes_received = counter("heathermoor_peer_bytes_received_total", "Bytes received from other hosts.");
     prometheus::Counter &lines_lost = counter("heathermoor_log_lines_lost_total", "Log lines lost because the queue was full.");
 };
 
@@ -84,13 +93,21 @@
     all.targets_known.Set(static_cast<double>(state.targets_known));
     all.config_version.Set(static_cast<double>(state.config_version));
     all.store_silence.Set(internal::to_seconds(state.store_silence));
-    internal::raise_to(all.task_starts, state.task_starts);
-    internal::raise_to(all.runs_failed, state.runs_failed);
-    internal::raise_to(all.runs_lost, state.runs_lost);
-    internal::raise_to(all.target_claims, state.target_claims);
-    internal::raise_to(all.calls, state.calls);
-    internal::raise_to(all.connections, state.connections_made);
-    internal::raise_to(all.lines_lost, state.log_lines_lost);
+    internal::raise_to(all.task_starts, static_cast<double>(state.task_starts));
+    internal::raise_to(all.runs_failed, static_cast<double>(state.runs_failed));
+    internal::raise_to(all.runs_lost, static_cast<double>(state.runs_lost));
+    internal::raise_to(all.target_claims, static_cast<double>(state.target_claims));
+    internal::raise_to(all.calls, static_cast<double>(state.calls));
+    internal::raise_to(all.connections, static_cast<double>(state.connections_made));
+    internal::raise_to(all.lines_lost, static_cast<double>(state.log_lines_lost));
+    internal::raise_to(all.messages_sent, static_cast<double>(state.peers.messages_sent));
+    internal::raise_to(all.messages_dropped, static_cast<double>(state.peers.messages_dropped));
+    internal::raise_to(all.bytes_sent, static_cast<double>(state.peers.bytes_sent));
+    internal::raise_to(all.bytes_received, static_cast<double>(state.peers.bytes_received));
+    for(std::size_t part = 0; part < metrics::work_parts; ++part) {
+        const std::string name{name_of(static_cast<metrics::work_part>(part))};
+        internal::raise_to(all.work.Add({{"part", name}}), internal::to_seconds(state.work.at(part).spent));
+    }
     return prometheus::TextSerializer{}.Serialize(all.registry.Collect());
 }
 
--- a/src/heathermoor/adapter/service_metrics.hpp
+++ b/src/heathermoor/adapter/service_metrics.hpp
@@ -3,6 +3,7 @@
 #include "heathermoor/core/error.hpp"
 #include "heathermoor/core/time.hpp"
 #include "heathermoor/job/job.hpp"
+#include "heathermoor/metrics/work_meter.hpp"
 #include <cstdint>
 #include <memory>
 #include <string>
@@ -28,6 +29,8 @@
     std::uint64_t calls{};
     std::uint64_t connections_made{};
     std::uint64_t log_lines_lost{};
+    metrics::peer_traffic peers;
+    metrics::work_totals work{};
 };
 
 /// @brief Counters and latency histograms of one host, in the Prometheus text format.
--- a/src/heathermoor/adapter/zmq_peers.hpp
+++ b/src/heathermoor/adapter/zmq_peers.hpp
@@ -1,5 +1,6 @@
 #pragma once
 
+#include "heathermoor/metrics/work_meter.hpp"
 #include "heathermoor/port/ports.hpp"
 #include <atomic>
 #include <functional>
@@ -52,13 +53,9 @@
     /// @return Bytes since the start.
     [[nodiscard]] std::uint64_t bytes_sent() const noexcept { return m_bytes_sent; }
 
-    /// @brief Bytes received from other hosts.
-    /// @return Bytes since the start.
-    [[nodiscard]] std::uint64_t bytes_received() const noexcept { return m_bytes_received; }
-
-    /// @brief Messages sent to other hosts.
-    /// @return Messages since the start.
-    [[nodiscard]] std::uint64_t messages_sent() const noexcept { return m_messages_sent; }
+    /// @brief Messages to and from other hosts.
+    /// @return Counts since the start.
+    [[nodiscard]] metrics::peer_traffic traffic() const noexcept { return {m_messages_sent, m_dropped, m_bytes_sent, m_bytes_received}; }
 
     /// @brief Messages dropped for want of a connection.
     /// @return Messages since the start.
--- /dev/null
+++ b/src/heathermoor/host/control_role_ownership.cpp
@@ -0,0 +1,115 @@
+#include "heathermoor/host/control_role.hpp"
+
+#include "heathermoor/core/rendezvous.hpp"
+#include "heathermoor/host/convert.hpp"
+#include <algorithm>
+
+namespace heathermoor::host {
+
+route control_role::find_owner(const submission::parsed_id &id) const {
+    const std::lock_guard lock{m_mutex};
+    const auto minted = id.kind == submission::id_kind::host_minted;
+    const auto &host = minted ? id.host : m_map.owner(id.domain, id.slice).host;
+    if(host == m_options.host) {
+        return {host, minted && id.issuer != m_options.process};
+    }
+    const auto *peer = m_peers.find(host);
+    const auto lost = minted && peer != nullptr && raw(peer->process) > raw(id.issuer);
+    const auto reachable = peer != nullptr ? peer->alive : id.domain != m_options.domain;
+    return {reachable ? host : host_id{}, lost};
+}
+
+std::vector<host_id> control_role::domain_others() const {
+    std::vector<host_id> others;
+    for(const auto &[host, joined]: m_map.members(m_options.domain)) {
+        if(host != m_options.host) {
+            others.push_back(host);
+        }
+    }
+    return others;
+}
+
+bool control_role::lease_valid(time_point now) const {
+    return m_lease.valid(domain_others(), now);
+}
+
+bool control_role::may_admit(partition slice, time_point now) const {
+    const std::lock_guard lock{m_mutex};
+    return m_keeper.state(slice) == ownership::service_state::serving && lease_valid(now);
+}
+
+bool control_role::may_start(partition slice, time_point now) const {
+    const std::lock_guard lock{m_mutex};
+    const auto state = m_keeper.state(slice);
+    const auto held = state == ownership::service_state::serving || state == ownership::service_state::transferring;
+    return held && lease_valid(now);
+}
+
+bool control_role::has_gap(partition slice, time_point now) const {
+    const std::lock_guard lock{m_mutex};
+    return m_keeper.has_gap(slice, now);
+}
+
+epoch control_role::epoch_of(partition slice) const {
+    const std::lock_guard lock{m_mutex};
+    return m_map.owner(m_options.domain, slice).since;
+}
+
+std::optional<host_id> control_role::witness() const {
+    const std::lock_guard lock{m_mutex};
+    for(const auto &[host, joined]: m_map.members(m_options.domain)) {
+        const auto *peer = m_peers.find(host);
+        if(host != m_options.host && peer != nullptr && peer->alive && peer->process == joined.process) {
+            return host;
+        }
+    }
+    return std::nullopt;
+}
+
+void control_role::recalled(const host_id &peer, epoch claimed) {
+    const std::lock_guard lock{m_mutex};
+    m_keeper.recalled(peer, claimed);
+}
+
+void control_role::journal_read(bool complete) {
+    const std::lock_guard lock{m_mutex};
+    m_keeper.journal_read(complete);
+}
+
+void control_role::received_table(const std::vector<partition> &slices, const host_id &from, incarnation process) {
+    const std::lock_guard lock{m_mutex};
+    m_keeper.received_table(slices, from, process);
+}
+
+std::optional<wire::ownership_record> control_role::transfer_record(const ownership::transfer_plan &plan) const {
+    const std::lock_guard lock{m_mutex};
+    const auto pending = std::any_of(plan.slices.begin(), plan.slices.end(),
+                                     [&](partition slice) { return m_keeper.state(slice) == ownership::service_state::transferring; });
+    return pending ? std::optional{m_keeper.transfer_record(plan, m_map)} : std::nullopt;
+}
+
+void control_role::abandon_transfer() {
+    const std::lock_guard lock{m_mutex};
+    m_keeper.abandon_transfer();
+}
+
+void control_role::drain() {
+    const std::lock_guard lock{m_mutex};
+    m_draining = true;
+    m_keeper.drain();
+}
+
+bool control_role::transfer_pending() const {
+    const std::lock_guard lock{m_mutex};
+    const auto successor = std::any_of(m_peers.all().begin(), m_peers.all().end(), [&](const auto &entry) {
+        return entry.second.alive && !entry.second.draining && entry.second.domain == m_options.domain;
+    });
+    return successor && m_keeper.holds_any();
+}
+
+wire::ownership_record control_role::leave_record() const {
+    const std::lock_guard lock{m_mutex};
+    return m_keeper.leave_record();
+}
+
+} // namespace heathermoor::host
--- a/src/heathermoor/metrics/work_meter.hpp
+++ b/src/heathermoor/metrics/work_meter.hpp
@@ -64,6 +64,17 @@
     duration spent{};
 };
 
+/// @brief What all parts have cost, by part.
+using work_totals = std::array<work_total, work_parts>;
+
+/// @brief Messages between hosts since the start of the process.
+struct peer_traffic {
+    std::uint64_t messages_sent{};
+    std::uint64_t messages_dropped{};
+    std::uint64_t bytes_sent{};
+    std::uint64_t bytes_received{};
+};
+
 /// @brief Accounts for the processor time of one thread by part, each moment to one part only.
 class work_meter {
   public:
@@ -97,6 +108,10 @@
     /// @return Spans begun, and their time without the spans inside them.
     [[nodiscard]] const work_total &total(work_part part) const noexcept { return m_totals[static_cast<std::size_t>(part)]; }
 
+    /// @brief Cost of all parts so far.
+    /// @return Totals by part.
+    [[nodiscard]] const work_totals &totals() const noexcept { return m_totals; }
+
   private:
     void change(work_part part) {
         const auto spent = m_clock.spent();
@@ -106,9 +121,16 @@
     }
 
     const work_clock &m_clock;
-    std::array<work_total, work_parts> m_totals{};
+    work_totals m_totals{};
     work_part m_current{work_part::loop};
     duration m_since;
 };
 
+/// @brief Writes an event with the cost of all parts.
+/// @param meter Meter.
+/// @param longest_lag Longest delay of the host's timer since the last event.
+/// @param oldest_echo Age of the oldest echo in a heartbeat since the last event.
+/// @param peers Messages between hosts.
+void log_work(const work_meter &meter, duration longest_lag, duration oldest_echo, const peer_traffic &peers);
+
 } // namespace heathermoor::metrics
--- /dev/null
+++ b/src/heathermoor/pool/scheduler_runs.cpp
@@ -0,0 +1,197 @@
+#include "heathermoor/pool/scheduler.hpp"
+
+#include "heathermoor/core/event.hpp"
+#include <algorithm>
+#include <utility>
+
+namespace heathermoor::pool {
+
+namespace internal {
+
+/// Time in which an entry host hands its jobs to a new scheduler; runs that
+/// belong to no known job are stopped after it.
+constexpr milliseconds orphan_time{450};
+
+/// Step by which a run's number rises after a target rejected it as too low.
+constexpr std::uint64_t run_number_step = 16;
+
+} // namespace internal
+
+scheduler::task_slot *scheduler::find_slot(open_job &job, const job::task_ref &task) {
+    for(auto &slot: job.slots) {
+        if(slot.step == task.step && slot.index == task.index) {
+            return &slot;
+        }
+    }
+    return nullptr;
+}
+
+void scheduler::run_ended(const target_id &target, const lease::ended_run &end, time_point now) {
+    m_place_due = true;
+    if(end.how == lease::run_end::lapsed || end.how == lease::run_end::lost) {
+        ++m_counts.runs_lost;
+    }
+    const auto orphan = m_orphans.find(end.task);
+    if(orphan != m_orphans.end() && orphan->second.target == target) {
+        m_orphans.erase(orphan);
+    }
+    const auto found = m_jobs.find(end.task.job);
+    if(found == m_jobs.end()) {
+        if(end.how == lease::run_end::done && !end.own) {
+            m_orphan_ends[end.task] = {end.run, now};
+        }
+        return;
+    }
+    auto &job = found->second;
+    auto *slot = find_slot(job, end.task);
+    if(slot == nullptr) {
+        return;
+    }
+    log_event(end.how == lease::run_end::done ? log_level::debug : log_level::info, "pool", "run_ended",
+              {{"job", end.task.job},
+               {"step", end.task.step},
+               {"index", end.task.index},
+               {"run", end.run},
+               {"target", target},
+               {"how", lease::name_of(end.how)},
+               {"elapsed_ms", end.elapsed},
+               {"closing", job.closing}});
+    const bool current = slot->state == slot_state::placed && slot->target == target && slot->last_run == raw(end.run);
+    if(!current) {
+        if(end.how == lease::run_end::done && slot->state == slot_state::waiting && !job.closing) {
+            slot->state = slot_state::done;
+        }
+        return;
+    }
+    slot->state = slot_state::waiting;
+    const auto expected = expected_run(job);
+    switch(end.how) {
+    case lease::run_end::done:
+        slot->state = slot_state::done;
+        m_target_states[target].health.succeeded();
+        if(end.own) {
+            m_run_times.observe(job.queue.name, job.job.steps[slot->step].estimate, end.elapsed, m_speeds.speed(target));
+            if(!slot->pace_observed) {
+                m_speeds.observe(target, end.elapsed, expected);
+            }
+        }
+        break;
+    case lease::run_end::failed:
+        ++slot->failures;
+        ++m_counts.runs_failed;
+        m_target_states[target].health.failed(now, false);
+        break;
+    case lease::run_end::not_started:
+        slot->last_run += internal::run_number_step - 1;
+        break;
+    default:
+        break;
+    }
+    if(!job.closing) {
+        if(slot->failures >= std::max<std::uint32_t>(1, job.queue.max_attempts)) {
+            finish(job, {job::outcome::failed, errc::attempts_exhausted, {}}, now);
+        } else if(std::all_of(job.slots.begin(), job.slots.end(), [](const task_slot &one) { return one.state == slot_state::done; })) {
+            finish(job, {job::outcome::completed, errc::ok, {}}, now);
+        }
+    }
+    erase_if_closed(end.task.job, now);
+}
+
+void scheduler::run_found(const target_id &target, const lease::found_run &run, time_point now) {
+    const auto found = m_jobs.find(run.task.job);
+    auto *slot = found == m_jobs.end() ? nullptr : find_slot(found->second, run.task);
+    if(slot == nullptr) {
+        m_orphans[run.task] = {target, run.run, now};
+        log_event(log_level::debug, "pool", "orphan_found",
+                  {{"job", run.task.job}, {"step", run.task.step}, {"index", run.task.index}, {"run", run.run}, {"target", target}});
+        return;
+    }
+    auto &job = found->second;
+    log_event(log_level::debug, "pool", "run_found",
+              {{"job", run.task.job}, {"step", run.task.step}, {"index", run.task.index}, {"run", run.run}, {"target", target}});
+    m_holder.adopt(target, run.task, job.job.steps[run.task.step].need);
+    const bool wanted = !job.closing && (slot->state == slot_state::waiting || slot->state == slot_state::out_of_reach);
+    if(!wanted) {
+        m_holder.stop(target, run.task, now);
+        return;
+    }
+    slot->state = slot_state::placed;
+    slot->target = target;
+    slot->last_run = std::max(slot->last_run, raw(run.run));
+    slot->placed_at = now;
+    job.ever_started = true;
+}
+
+void scheduler::target_taken(const target_id &target, const std::vector<job::task_ref> &runs, time_point lapse, time_point now) {
+    for(const auto &task: runs) {
+        m_orphans.erase(task);
+        const auto found = m_jobs.find(task.job);
+        if(found == m_jobs.end()) {
+            continue;
+        }
+        auto *slot = find_slot(found->second, task);
+        if(slot != nullptr && slot->state == slot_state::placed && slot->target == target) {
+            slot->state = slot_state::out_of_reach;
+            slot->lapse_at = lapse;
+        }
+        erase_if_closed(task.job, now);
+    }
+}
+
+bool scheduler::may_renew(const std::unordered_map<job::task_ref, lease::run_entry> &runs, time_point now) const {
+    return std::all_of(runs.begin(), runs.end(), [&](const auto &item) {
+        const auto found = m_jobs.find(item.first.job);
+        return found == m_jobs.end() || found->second.closing || vouched(found->second, now);
+    });
+}
+
+void scheduler::target_restarted(const target_id &target) {
+    m_speeds.forget(target);
+    m_target_states.erase(target);
+}
+
+void scheduler::start_answered(const order_answer &answer, time_point now) {
+    if(answer.outcome == lease::order_outcome::unwell) {
+        m_target_states[answer.target].health.failed(now, false);
+    }
+    m_holder.start_answered(answer, now);
+}
+
+void scheduler::stop_answered(const order_answer &answer, time_point now) {
+    m_holder.stop_answered(answer, now);
+}
+
+void scheduler::report_answered(const report_answer &answer, time_point now) {
+    m_holder.report_answered(answer, now);
+    m_place_due = true;
+}
+
+void scheduler::return_lapsed(time_point now) {
+    std::vector<job_id> closed;
+    for(auto &[id, job]: m_jobs) {
+        for(auto &slot: job.slots) {
+            if(slot.state == slot_state::out_of_reach && now >= slot.lapse_at) {
+                slot.state = slot_state::waiting;
+                closed.push_back(id);
+            }
+        }
+    }
+    for(const auto &id: closed) {
+        erase_if_closed(id, now);
+    }
+}
+
+void scheduler::stop_orphans(time_point now) {
+    std::vector<std::pair<target_id, job::task_ref>> due;
+    for(auto &[task, orphan]: m_orphans) {
+        if(now - orphan.found_at >= internal::orphan_time) {
+            due.emplace_back(orphan.target, task);
+            orphan.found_at = now;
+        }
+    }
+    for(const auto &[target, task]: due) {
+        m_holder.stop(target, task, now);
+    }
+}
+
+} // namespace heathermoor::pool
