Divide by the largest number of targets that peers remember

A host that starts after targets were lost knows fewer of them than peers that remember them for a minute; near the limit of 40 it would divide the deployment otherwise, hear nobody in its cell and claim the targets of another one. Heartbeats say how many targets of its failure domain the sender knows; the largest word of the last 15 s counts. The scenario in tests/member/cells.cpp fails before.

--- a/src/heathermoor/member/member.cpp
+++ b/src/heathermoor/member/member.cpp
@@ -33,6 +33,13 @@
 /// Time after another division into cells in which runs ordered under the former one may be at work.
 constexpr seconds cell_change_time{3};
 
+/// Time between looks at what other hosts say of the number of targets.
+constexpr milliseconds division_interval{500};
+
+/// Time for which a host's word on the number of targets of its failure domain counts. A host
+/// that has just started knows fewer than those that remember the ones that are gone.
+constexpr seconds division_memory{15};
+
 /// Hosts that get it: enough for several successors to be lost at once.
 constexpr std::size_t experienced_hosts = 8;
 
@@ -101,29 +108,44 @@
     }
 }
 
-void member::update_cells() {
-    if(m_cells_revision == m_catalog.revision()) {
-        return;
-    }
-    m_cells_revision = m_catalog.revision();
+std::map<failure_domain_id, std::size_t> member::domain_sizes(time_point now) const {
     std::map<failure_domain_id, std::size_t> sizes;
     for(const auto &[id, domain]: m_catalog.known()) {
         ++sizes[domain];
     }
-    m_election.take_part(!sizes.empty());
-    cell::cell_plan plan{sizes};
+    for(const auto &[id, peer]: m_peers) {
+        if(peer.domain_targets > 0 && now - peer.heard_at < internal::division_memory) {
+            auto &size = sizes[peer.domain];
+            size = std::max(size, peer.domain_targets);
+        }
+    }
+    return sizes;
+}
+
+void member::update_cells() {
+    const auto at = now();
+    if(m_cells_revision == m_catalog.revision() && at < m_next_division) {
+        return;
+    }
+    m_cells_revision = m_catalog.revision();
+    m_next_division = at + internal::division_interval;
+    const auto known = m_catalog.known();
+    m_domain_targets = static_cast<std::size_t>(
+        std::count_if(known.begin(), known.end(), [this](const auto &item) { return item.second == m_settings.domain; }));
+    m_election.take_part(!known.empty());
+    cell::cell_plan plan{domain_sizes(at)};
     if(plan == m_cells) {
         return;
     }
     m_cells = std::move(plan);
     m_cell = m_cells.of(m_settings.domain, m_settings.self);
-    m_cells_changed_at = now();
+    m_cells_changed_at = at;
     m_targets_due = true;
     m_scheduler.forget_others();
     m_contacts.set_plan(m_cells);
     m_election.retain([this](const host_id &host) { return m_contacts.near(host); });
     log_event(log_level::info, "member", "cells_changed",
-              {{"cells", m_cells.size()}, {"cell", m_cell.domain}, {"index", m_cell.index}, {"hosts", m_election.members(now()).size()}});
+              {{"cells", m_cells.size()}, {"cell", m_cell.domain}, {"index", m_cell.index}, {"hosts", m_election.members(at).size()}});
 }
 
 std::set<target_id> member::known_targets(time_point now) const {
--- a/src/heathermoor/member/member.hpp
+++ b/src/heathermoor/member/member.hpp
@@ -189,6 +189,10 @@
     /// @brief What is known of another host.
     struct peer_record {
         incarnation process{};
+        time_point heard_at{};
+        failure_domain_id domain;
+        /// Targets of that failure domain that the host knows or remembers.
+        std::size_t domain_targets{};
         /// Sender's clock in its latest message.
         std::int64_t last_sent_us{};
         leader_term term{};
@@ -203,6 +207,7 @@
     void fill_heartbeat(wire::pool_heartbeat &beat);
     void introduce(const host_id &to);
     void update_cells();
+    [[nodiscard]] std::map<failure_domain_id, std::size_t> domain_sizes(time_point now) const;
     [[nodiscard]] bool in_cell(const catalog::target_entry &target) const { return m_cells.of(target.domain, target.id) == m_cell; }
     [[nodiscard]] std::set<target_id> known_targets(time_point now) const;
     void drain_inbox();
@@ -231,6 +236,9 @@
     /// Cell of this host.
     cell::cell_id m_cell;
     std::uint64_t m_cells_revision{};
+    time_point m_next_division{};
+    /// Targets of the own failure domain that this host knows or remembers.
+    std::size_t m_domain_targets{};
     time_point m_cells_changed_at{};
     pool::scheduler m_scheduler;
     std::map<host_id, peer_record> m_peers;
--- a/src/heathermoor/member/member_messages.cpp
+++ b/src/heathermoor/member/member_messages.cpp
@@ -149,6 +149,9 @@
     const bool gave_up = peer.leading && !beat.leading();
     peer.leading = beat.leading();
     const failure_domain_id domain{message.domain()};
+    peer.heard_at = at;
+    peer.domain = domain;
+    peer.domain_targets = beat.domain_targets();
     m_contacts.heard(from, domain, at);
     for(const auto &host: beat.hosts()) {
         meet(host_id{host.id()}, failure_domain_id{host.domain()});
@@ -307,6 +310,7 @@
     const auto &self = m_election.self();
     beat.set_draining(self.draining || self.yielding);
     beat.set_millicores(self.millicores);
+    beat.set_domain_targets(static_cast<std::uint32_t>(m_domain_targets));
     beat.set_listening(self.listening);
     beat.set_leading(m_leading);
     beat.set_term(raw(m_term));
--- a/tests/member/cells.cpp
+++ b/tests/member/cells.cpp
@@ -70,6 +70,25 @@
             finish(world);
         }
     }
+    // Guards against a host that sees fewer targets than its peers remember, and for that reason another division.
+    GIVEN("a failure domain that loses a third of its targets, and a host that starts there afterwards") {
+        for(std::size_t target = 50; target < 67; ++target) {
+            world.unlist_target(target, true);
+        }
+        world.run(seconds{6});
+        constexpr std::size_t host = 5;
+        world.kill(host);
+        world.run(seconds{1});
+        const auto before = world.claims();
+        world.start(host);
+        world.run(seconds{4});
+        THEN("it divides as its peers do, and takes nothing from them") {
+            CHECK(world.host(host).cells() == world.host(0).cells());
+            CHECK(world.leaders() == 2);
+            CHECK(world.claims() == before);
+            finish(world);
+        }
+    }
     GIVEN("leaders that are killed one after the other") {
         for(int round = 0; round < 2; ++round) {
             const auto victim = world.leader();
