Start no task while another run of it may be at work on a target

A new leader had found the lower of two runs as an orphan and took it up; the higher one, which the former leader had ordered when the lower had ended, was found later and only told to stop; when the lower turned out to be gone, the task was started a third time before the stop had come. Class of fault: a slot that knows one run where there may be several.

The higher run is taken up in place of the lower, and whatever else may be at work is kept with the slot until its end is known or its lease has passed; until then the task is not started. Of two orphans the higher one is kept.

--- a/src/heathermoor/pool/scheduler.hpp
+++ b/src/heathermoor/pool/scheduler.hpp
@@ -174,6 +174,13 @@
         out_of_reach,
     };
 
+    /// @brief Run of a task that is not wanted, and is being stopped.
+    struct stray_run {
+        target_id target;
+        /// When it has ended at the latest, if its target is out of reach.
+        std::optional<time_point> lapse_at;
+    };
+
     struct task_slot {
         std::uint32_t step{};
         std::uint32_t index{};
@@ -188,6 +195,8 @@
         double least_speed{};
         /// The pace of the present run has counted for its target's speed.
         bool pace_observed{};
+        /// Other runs that may be at work; the task is not started while there are any.
+        std::vector<stray_run> strays;
     };
 
     struct open_job {
@@ -271,6 +280,7 @@
     void return_lapsed(time_point now);
     void stop_orphans(time_point now);
     void stop_stalled(time_point now);
+    [[nodiscard]] static stray_run *find_stray(task_slot &slot, const target_id &target);
     [[nodiscard]] task_slot *find_slot(open_job &job, const job::task_ref &task);
     [[nodiscard]] bool step_ready(const open_job &job, std::uint32_t step) const;
     [[nodiscard]] duration expected_run(const open_job &job) const;
--- a/src/heathermoor/pool/scheduler_placing.cpp
+++ b/src/heathermoor/pool/scheduler_placing.cpp
@@ -161,7 +161,7 @@
 
 void scheduler::place_job(open_job &job, const speed_range &speeds, std::vector<candidate> &room, time_point now) {
     for(auto &slot: job.slots) {
-        if(slot.state != slot_state::waiting || !step_ready(job, slot.step)) {
+        if(slot.state != slot_state::waiting || !slot.strays.empty() || !step_ready(job, slot.step)) {
             continue;
         }
         auto *chosen = choose_startable(job, slot, speeds, room, now);
--- a/src/heathermoor/pool/scheduler_runs.cpp
+++ b/src/heathermoor/pool/scheduler_runs.cpp
@@ -26,6 +26,11 @@
     return nullptr;
 }
 
+scheduler::stray_run *scheduler::find_stray(task_slot &slot, const target_id &target) {
+    const auto found = std::find_if(slot.strays.begin(), slot.strays.end(), [&](const stray_run &stray) { return stray.target == target; });
+    return found == slot.strays.end() ? nullptr : &*found;
+}
+
 void scheduler::run_ended(const target_id &target, const lease::ended_run &end, time_point now) {
     m_place_due = true;
     if(end.how == lease::run_end::lapsed || end.how == lease::run_end::lost) {
@@ -56,6 +61,7 @@
                {"how", lease::name_of(end.how)},
                {"elapsed_ms", end.elapsed},
                {"closing", job.closing}});
+    std::erase_if(slot->strays, [&target](const stray_run &stray) { return stray.target == target; });
     const bool current = slot->state == slot_state::placed && slot->target == target && slot->last_run == raw(end.run);
     if(!current) {
         if(end.how == lease::run_end::done && slot->state == slot_state::waiting && !job.closing) {
@@ -101,7 +107,10 @@
     const auto found = m_jobs.find(run.task.job);
     auto *slot = found == m_jobs.end() ? nullptr : find_slot(found->second, run.task);
     if(slot == nullptr) {
-        m_orphans[run.task] = {target, run.run, now};
+        auto &orphan = m_orphans[run.task];
+        if(orphan.run <= run.run) {
+            orphan = {target, run.run, now};
+        }
         log_event(log_level::debug, "pool", "orphan_found",
                   {{"job", run.task.job}, {"step", run.task.step}, {"index", run.task.index}, {"run", run.run}, {"target", target}});
         return;
@@ -110,11 +119,18 @@
     log_event(log_level::debug, "pool", "run_found",
               {{"job", run.task.job}, {"step", run.task.step}, {"index", run.task.index}, {"run", run.run}, {"target", target}});
     m_holder.adopt(target, run.task, job.job.steps[run.task.step].need);
-    const bool wanted = !job.closing && (slot->state == slot_state::waiting || slot->state == slot_state::out_of_reach);
+    // A higher run was ordered when the lower one had ended.
+    const bool newer = slot->state == slot_state::placed && slot->target != target && raw(run.run) > slot->last_run;
+    const bool wanted = !job.closing && (slot->state == slot_state::waiting || slot->state == slot_state::out_of_reach || newer);
     if(!wanted) {
+        slot->strays.push_back({target, std::nullopt});
         m_holder.stop(target, run.task, now);
         return;
     }
+    if(newer) {
+        slot->strays.push_back({slot->target, std::nullopt});
+        m_holder.stop(slot->target, run.task, now);
+    }
     slot->state = slot_state::placed;
     slot->target = target;
     slot->last_run = std::max(slot->last_run, raw(run.run));
@@ -134,6 +150,10 @@
             slot->state = slot_state::out_of_reach;
             slot->lapse_at = lapse;
         }
+        auto *stray = slot == nullptr ? nullptr : find_stray(*slot, target);
+        if(stray != nullptr) {
+            stray->lapse_at = lapse;
+        }
         erase_if_closed(task.job, now);
     }
 }
@@ -170,6 +190,7 @@
     std::vector<job_id> closed;
     for(auto &[id, job]: m_jobs) {
         for(auto &slot: job.slots) {
+            std::erase_if(slot.strays, [now](const stray_run &stray) { return stray.lapse_at && now >= *stray.lapse_at; });
             if(slot.state == slot_state::out_of_reach && now >= slot.lapse_at) {
                 slot.state = slot_state::waiting;
                 closed.push_back(id);
--- a/tests/pool/scheduler.cpp
+++ b/tests/pool/scheduler.cpp
@@ -462,3 +462,48 @@
         }
     }
 }
+
+// Guards against a finding of the walk (seed 310): a new leader that had taken up the lower of two runs of a task started the
+// task a third time when that one was gone, while the higher one was still at work.
+SCENARIO("A new leader finds two runs of a task", "[pool]") {
+    hand_driven bench;
+    bench.add_targets(3);
+    const job::task_ref task{job_id{"one"}, 0, 0};
+    const auto report = [&bench, &task](const char *target, std::optional<std::uint64_t> run) {
+        const auto open = std::find_if(bench.reports.begin(), bench.reports.end(),
+                                       [target](const report_order &one) { return one.to.target == target_id{target}; });
+        REQUIRE(open != bench.reports.end());
+        const auto order = *open;
+        bench.reports.erase(open);
+        report_answer answer{order.to.target, order.to.token, order.purpose, lease::order_outcome::done, {}, order.until, bench.now};
+        answer.report.boot = target_boot{1};
+        answer.report.clock = bench.clock();
+        if(run) {
+            answer.report.running.push_back({task, run_number{*run}, 0});
+        }
+        bench.work.report_answered(answer, bench.now);
+        bench.work.place(bench.now);
+    };
+    bench.now += milliseconds{10};
+    report("t0", 1);
+    submission one;
+    one.job.id = task.job;
+    one.job.steps.push_back({1, {task_cpu, 10, 0}, declared, {}, {}, {}, 0});
+    one.queue.service = service_id{"s"};
+    one.from = host_id{"a"};
+    one.remaining = milliseconds{1'500};
+    one.may_have_run = true;
+    bench.work.submit(std::move(one), bench.now);
+    bench.now += milliseconds{10};
+    GIVEN("the lower run is taken up, then the higher one is found") {
+        report("t1", 2);
+        WHEN("the lower one turns out to have ended") {
+            bench.now += milliseconds{30};
+            report("t0", std::nullopt);
+            bench.tick();
+            THEN("the task is not started again") {
+                CHECK(bench.starts.empty());
+            }
+        }
+    }
+}
