Move the reads of the store's topics into the product

No change of behaviour. When a host reads which topic, and what it does with the records, was wired in platform/process.cpp, which no test in virtual time reaches. src/heathermoor/subscription has it now, behind a decoder port; platform/ keeps the decoding.

--- a/src/heathermoor/heathermoor.hpp
+++ b/src/heathermoor/heathermoor.hpp
@@ -63,6 +63,7 @@
 #include "heathermoor/submission/id.hpp"
 #include "heathermoor/submission/outcome.hpp"
 #include "heathermoor/submission/owner_table.hpp"
+#include "heathermoor/subscription/subscriptions.hpp"
 #include "heathermoor/trace/breakdown.hpp"
 #include "heathermoor/trace/explanation.hpp"
 #include "heathermoor/trace/record.hpp"
--- /dev/null
+++ b/src/heathermoor/subscription/ports.hpp
@@ -0,0 +1,26 @@
+#pragma once
+
+#include "heathermoor/catalog/target_catalog.hpp"
+#include "heathermoor/core/interface.hpp"
+#include "heathermoor/route/route_table.hpp"
+#include <optional>
+#include <string>
+
+namespace heathermoor::subscription {
+
+/// @brief Decodes the values of records on the platform's store.
+class record_decoder : public interface {
+  public:
+    /// @brief Decodes a version of the configuration.
+    /// @param value Value as stored.
+    /// @return Configuration; empty if any part of it is malformed.
+    [[nodiscard]] virtual std::optional<route::route_config> decode_config(const std::string &value) const = 0;
+
+    /// @brief Decodes an entry of the list of targets.
+    /// @param key Key of the record, which names the target.
+    /// @param value Value as stored.
+    /// @return Entry; empty if it is malformed.
+    [[nodiscard]] virtual std::optional<catalog::target_entry> decode_target(const std::string &key, const std::string &value) const = 0;
+};
+
+} // namespace heathermoor::subscription
--- /dev/null
+++ b/src/heathermoor/subscription/subscriptions.hpp
@@ -0,0 +1,89 @@
+#pragma once
+
+#include "heathermoor/feed/topic_follower.hpp"
+#include "heathermoor/member/member.hpp"
+#include "heathermoor/subscription/ports.hpp"
+#include <vector>
+
+namespace heathermoor::subscription {
+
+/// @brief Follows the operators' configuration on the store and passes each version to the member.
+class config_subscription final : public feed::topic_listener {
+  public:
+    /// @brief Creates a subscription; the first read begins with the first `tick`.
+    /// @param member Host that receives the versions; must outlive the subscription.
+    /// @param topic Topic of the configuration.
+    /// @param decoder Decoder of the records.
+    config_subscription(member::member &member, feed::topic_port &topic, const record_decoder &decoder);
+
+    /// @brief Starts the next read if it is due.
+    /// @param now Reading of the monotonic clock.
+    void tick(time_point now);
+
+    /// @brief Handles the result of the pending read.
+    /// @param page Page, or the error of the read.
+    /// @param now Reading of the monotonic clock.
+    void answered(feed::topic_page page, time_point now) { m_follower.answered(std::move(page), now); }
+
+    void topic_changed(const std::vector<feed::keyed_record> &records, log_offset next, bool complete) override;
+    void topic_reachable(bool reachable) override;
+
+  private:
+    member::member &m_member;
+    const record_decoder &m_decoder;
+    feed::topic_follower m_follower;
+};
+
+/// @brief Follows the list of targets on the store and passes its changes to the member.
+class target_subscription final : public feed::topic_listener {
+  public:
+    /// @brief Creates a subscription; the first read begins with the first `tick`.
+    /// @param member Host that receives the list; must outlive the subscription.
+    /// @param topic Topic of the list.
+    /// @param decoder Decoder of the records.
+    target_subscription(member::member &member, feed::topic_port &topic, const record_decoder &decoder);
+
+    /// @brief Starts the next read if it is due.
+    /// @param now Reading of the monotonic clock.
+    void tick(time_point now);
+
+    /// @brief Handles the result of the pending read.
+    /// @param page Page, or the error of the read.
+    /// @param now Reading of the monotonic clock.
+    void answered(feed::topic_page page, time_point now) { m_follower.answered(std::move(page), now); }
+
+    void topic_changed(const std::vector<feed::keyed_record> &records, log_offset next, bool complete) override;
+    void topic_reachable(bool reachable) override;
+
+  private:
+    member::member &m_member;
+    const record_decoder &m_decoder;
+    feed::topic_follower m_follower;
+};
+
+/// @brief Follows the list of hosts on the store and passes new hosts to the member.
+class host_subscription final : public feed::topic_listener {
+  public:
+    /// @brief Creates a subscription; the first read begins with the first `tick`.
+    /// @param member Host that receives the list; must outlive the subscription.
+    /// @param topic Topic of the list.
+    host_subscription(member::member &member, feed::topic_port &topic);
+
+    /// @brief Starts the next read if it is due.
+    /// @param now Reading of the monotonic clock.
+    void tick(time_point now);
+
+    /// @brief Handles the result of the pending read.
+    /// @param page Page, or the error of the read.
+    /// @param now Reading of the monotonic clock.
+    void answered(feed::topic_page page, time_point now) { m_follower.answered(std::move(page), now); }
+
+    void topic_changed(const std::vector<feed::keyed_record> &records, log_offset next, bool complete) override;
+    void topic_reachable(bool reachable) override;
+
+  private:
+    member::member &m_member;
+    feed::topic_follower m_follower;
+};
+
+} // namespace heathermoor::subscription
