Log and export when and by whom a host's copies were last confirmed

Cause: the logs could not tell a hung read from a change that was not passed on or not applied. The only metric of the store's silence was fed by the reads of all three topics, so a hung read of the configuration showed nowhere.

Change: module confirmation tracks, for configuration, target list and host list, the time at which the copy was known to be up to date, and by which source (the store, a peer). Heartbeats carry these times; the receiver counts them from the heartbeat that is echoed, so that a late message cannot look fresh. Logged: source_lost, source_regained, confirmations (every 5 s), peer_asked, by whom a version came (config_in_force), version and age of the configuration at each request. Metrics: confirmation_age_seconds, source_lost, source_losses_total. No decision depends on any of it yet. The simulation of the pool reads the configuration through the same subscription as the program, drops messages on connections that are not established, and can silence open connections.

--- a/src/heathermoor/adapter/service_metrics.cpp
+++ b/src/heathermoor/adapter/service_metrics.cpp
@@ -50,6 +50,15 @@
     prometheus::Gauge &targets_known = gauge("heathermoor_targets_known", "Targets on the list.");
     prometheus::Gauge &config_version = gauge("heathermoor_config_version", "Version of the configuration in force.");
     prometheus::Gauge &store_silence = gauge("heathermoor_store_silence_seconds", "Time since the platform's store last answered.");
+    prometheus::Family<prometheus::Gauge> &confirmation_age =
+        prometheus::BuildGauge()
+            .Name("heathermoor_confirmation_age_seconds")
+            .Help("Time since a source confirmed that the host's copy is up to date; absent if it never did.")
+            .Register(registry);
+    prometheus::Family<prometheus::Gauge> &source_lost =
+        prometheus::BuildGauge().Name("heathermoor_source_lost").Help("1 while a source of a copy is lost.").Register(registry);
+    prometheus::Family<prometheus::Counter> &source_losses =
+        prometheus::BuildCounter().Name("heathermoor_source_losses_total").Help("Losses of a source of a copy.").Register(registry);
     prometheus::Counter &task_starts = counter("heathermoor_task_starts_total", "Starts of tasks that were ordered.");
     prometheus::Counter &runs_failed = counter("heathermoor_runs_failed_total", "Runs that ended as failed.");
     prometheus::Counter &runs_lost = counter("heathermoor_runs_lost_total", "Runs whose lease lapsed or whose target restarted.");
@@ -93,6 +102,14 @@
     all.targets_known.Set(static_cast<double>(state.targets_known));
     all.config_version.Set(static_cast<double>(state.config_version));
     all.store_silence.Set(internal::to_seconds(state.store_silence));
+    for(const auto &one: state.confirmations) {
+        const prometheus::Labels labels{{"subject", std::string{one.subject}}, {"source", std::string{one.source}}};
+        if(one.age) {
+            all.confirmation_age.Add(labels).Set(internal::to_seconds(*one.age));
+        }
+        all.source_lost.Add(labels).Set(one.lost ? 1 : 0);
+        internal::raise_to(all.source_losses.Add(labels), static_cast<double>(one.losses));
+    }
     internal::raise_to(all.task_starts, static_cast<double>(state.task_starts));
     internal::raise_to(all.runs_failed, static_cast<double>(state.runs_failed));
     internal::raise_to(all.runs_lost, static_cast<double>(state.runs_lost));
--- a/src/heathermoor/adapter/service_metrics.hpp
+++ b/src/heathermoor/adapter/service_metrics.hpp
@@ -6,10 +6,25 @@
 #include "heathermoor/metrics/work_meter.hpp"
 #include <cstdint>
 #include <memory>
+#include <optional>
 #include <string>
+#include <string_view>
+#include <vector>
 
 namespace heathermoor::adapter {
 
+/// @brief What one source has confirmed of one kind of shared data.
+struct confirmation_snapshot {
+    /// Kind of data; becomes a label.
+    std::string_view subject;
+    /// Who confirms; becomes a label.
+    std::string_view source;
+    /// Time since the host's copy was confirmed; empty if it never was.
+    std::optional<duration> age;
+    bool lost{};
+    std::uint64_t losses{};
+};
+
 /// @brief Snapshot of a host's state for its metrics.
 struct service_state {
     /// Whether this host schedules the pool.
@@ -24,6 +39,7 @@
     std::uint64_t config_version{};
     /// Time since the platform's store last answered.
     duration store_silence{};
+    std::vector<confirmation_snapshot> confirmations;
     std::uint64_t task_starts{};
     std::uint64_t runs_failed{};
     std::uint64_t runs_lost{};
--- a/src/heathermoor/feed/topic_follower.hpp
+++ b/src/heathermoor/feed/topic_follower.hpp
@@ -50,6 +50,14 @@
     virtual void read_from(log_offset from, milliseconds wait) = 0;
 };
 
+/// @brief Why a topic is not being read at present.
+enum class read_problem : std::uint8_t {
+    /// A read failed; the store was not reached or returned an error.
+    failed,
+    /// A read is not answered although its wait is over.
+    overdue,
+};
+
 /// @brief Receives the records of a topic.
 class topic_listener : public interface {
   public:
@@ -59,9 +67,13 @@
     /// @param complete The records are a full snapshot, not only changes.
     virtual void topic_changed(const std::vector<keyed_record> &records, log_offset next, bool complete) = 0;
 
-    /// @brief Called after every read with whether the store answered.
-    /// @param reachable True if the latest read was answered.
-    virtual void topic_reachable(bool reachable) = 0;
+    /// @brief Called after a read that reached the end of the topic.
+    /// @param as_of Time at which the records passed so far were all that the topic had.
+    virtual void topic_confirmed(time_point as_of) = 0;
+
+    /// @brief Called when a read fails, and once when it becomes overdue.
+    /// @param problem What is wrong.
+    virtual void topic_unanswered(read_problem problem) = 0;
 };
 
 /// @brief Timing of the reads of a topic.
@@ -96,13 +108,22 @@
     void answered(topic_page page, time_point now);
 
   private:
+    [[nodiscard]] bool overdue(time_point now) const noexcept;
+    [[nodiscard]] time_point as_of(const topic_page &page, time_point now) const noexcept;
     void begin_snapshot();
 
     topic_port &m_store;
     topic_listener &m_listener;
     poll_timing m_timing;
     bool m_reading{};
+    /// The listener knows that the pending read is overdue.
+    bool m_overdue{};
+    time_point m_read_started{};
+    /// Wait of the pending read.
+    milliseconds m_read_wait{};
     bool m_has_snapshot{};
+    /// When the first page of the pending snapshot was requested.
+    time_point m_snapshot_started{};
     std::string m_after;
     std::vector<keyed_record> m_snapshot_records;
     log_offset m_next{};
--- a/src/heathermoor/heathermoor.hpp
+++ b/src/heathermoor/heathermoor.hpp
@@ -21,6 +21,7 @@
 #include "heathermoor/config/config_state.hpp"
 #include "heathermoor/config/declaration.hpp"
 #include "heathermoor/config/policy.hpp"
+#include "heathermoor/confirmation/confirmation_monitor.hpp"
 #include "heathermoor/contact/peer_directory.hpp"
 #include "heathermoor/core/error.hpp"
 #include "heathermoor/core/event.hpp"
--- a/src/heathermoor/member/member.cpp
+++ b/src/heathermoor/member/member.cpp
@@ -81,8 +81,14 @@
     return known;
 }
 
-bool member::apply_config(route::route_config config) {
-    return m_routes.apply(std::move(config));
+bool member::apply_config(route::route_config config, const host_id &peer) {
+    const auto before = m_routes.configured() ? m_routes.current().version : config_version{};
+    if(!m_routes.apply(std::move(config))) {
+        return false;
+    }
+    const auto by = peer.empty() ? name_of(confirmation::source::store) : std::string_view{peer.str()};
+    log_event(log_level::info, "config", "config_in_force", {{"version", m_routes.current().version}, {"before", before}, {"by", by}});
+    return true;
 }
 
 void member::apply_catalog(const std::vector<catalog::catalog_record> &records, log_offset next, bool complete) {
@@ -102,10 +108,13 @@
     process_pending();
 }
 
-void member::store_reachable(bool reachable) {
-    if(reachable) {
-        m_store_answered = now();
-    }
+void member::store_confirmed(confirmation::subject what, time_point as_of) {
+    m_store_answered = now();
+    m_confirmations.confirm(what, confirmation::source::store, {}, as_of, m_store_answered);
+}
+
+void member::store_lost(confirmation::subject what, confirmation::loss why) {
+    m_confirmations.store_lost(what, why, now());
 }
 
 std::map<failure_domain_id, std::size_t> member::domain_sizes(time_point now) const {
@@ -323,6 +332,7 @@
     auto &lag = m_election.self().timer_lag;
     lag = std::max(late, lag * 9 / 10);
     (void)m_catalog.expire(at);
+    m_confirmations.expire(at, !m_leading);
     update_cells();
     decide_leader(at);
     update_targets();
--- a/src/heathermoor/member/member.hpp
+++ b/src/heathermoor/member/member.hpp
@@ -2,6 +2,7 @@
 
 #include "heathermoor/catalog/target_catalog.hpp"
 #include "heathermoor/cell/cell_plan.hpp"
+#include "heathermoor/confirmation/confirmation_monitor.hpp"
 #include "heathermoor/contact/peer_directory.hpp"
 #include "heathermoor/election/leader_election.hpp"
 #include "heathermoor/gateway/gateway.hpp"
@@ -78,8 +79,9 @@
 
     /// @brief Applies a configuration version, unless the current one is as new.
     /// @param config Complete configuration version.
+    /// @param peer Host that passed it on; empty for the store.
     /// @return True if the version was applied.
-    bool apply_config(route::route_config config);
+    bool apply_config(route::route_config config, const host_id &peer = {});
 
     /// @brief Applies records of the platform's list of targets.
     /// @param records Records by offset.
@@ -87,9 +89,19 @@
     /// @param complete The records are a full snapshot; entries that it lacks are removed.
     void apply_catalog(const std::vector<catalog::catalog_record> &records, log_offset next, bool complete);
 
-    /// @brief Records whether the platform's store answered this host.
-    /// @param reachable True if the latest read was answered.
-    void store_reachable(bool reachable);
+    /// @brief Records that the store has confirmed a copy to be up to date.
+    /// @param what Subject that was read to its end.
+    /// @param as_of Time at which the copy was up to date.
+    void store_confirmed(confirmation::subject what, time_point as_of);
+
+    /// @brief Records that the store does not answer a read.
+    /// @param what Subject of the read.
+    /// @param why Reason.
+    void store_lost(confirmation::subject what, confirmation::loss why);
+
+    /// @brief Records the position in the store's list of hosts.
+    /// @param next Offset after the last record that was passed to `add_host`.
+    void hosts_read_to(log_offset next) noexcept { m_hosts_next = std::max(m_hosts_next, next); }
 
     /// @brief Loads persisted run statistics; ignored by a leader and after statistics were received from one.
     /// @param saved Values stored by `statistics_port::save_statistics` under all names; unreadable ones are skipped.
@@ -175,6 +187,10 @@
     /// @return Monotonic time; the clock's epoch if there was none.
     [[nodiscard]] time_point store_answered_at() const noexcept { return m_store_answered; }
 
+    /// @brief When and by whom this host's configuration, target list and host list were last confirmed.
+    /// @return Monitor as of the latest tick.
+    [[nodiscard]] const confirmation::confirmation_monitor &confirmations() const noexcept { return m_confirmations; }
+
     /// @brief Number of jobs in a queue of which no task has started.
     /// @param queue Queue name; an unknown one has no jobs.
     /// @return Count, on a follower up to two heartbeats old.
@@ -205,6 +221,8 @@
     void send(const host_id &to, wire::envelope message);
     void send_heartbeats(time_point now);
     void fill_heartbeat(wire::pool_heartbeat &beat);
+    void fill_confirmations(wire::pool_heartbeat &beat) const;
+    void take_confirmations(const wire::envelope &message);
     void introduce_self(const host_id &to);
     void update_cells();
     [[nodiscard]] std::map<failure_domain_id, std::size_t> domain_sizes(time_point now) const;
@@ -229,6 +247,8 @@
     ports m_ports;
     route::route_table m_routes;
     catalog::target_catalog m_catalog;
+    confirmation::confirmation_monitor m_confirmations;
+    log_offset m_hosts_next{};
     election::leader_election m_election;
     gateway::gateway m_gateway;
     contact::peer_directory m_contacts;
--- a/src/heathermoor/member/member_messages.cpp
+++ b/src/heathermoor/member/member_messages.cpp
@@ -108,7 +108,7 @@
         handle_pull(message);
         break;
     case wire::envelope::kPoolRoutes:
-        (void)apply_config(from_wire(message.pool_routes()));
+        (void)apply_config(from_wire(message.pool_routes()), host_id{message.from()});
         break;
     case wire::envelope::kPoolLearned:
         if(!m_leading) {
@@ -156,6 +156,7 @@
     for(const auto &host: beat.hosts()) {
         add_host(host_id{host.id()}, failure_domain_id{host.domain()});
     }
+    take_confirmations(message);
     if(beat.introduces()) {
         introduce_self(from);
     }
@@ -164,6 +165,33 @@
     }
 }
 
+void member::take_confirmations(const wire::envelope &message) {
+    if(message.echo_us() == 0) {
+        return;
+    }
+    const auto at = now();
+    const host_id from{message.from()};
+    const auto &beat = message.pool_beat();
+    const auto confirm = [&](confirmation::subject what, std::int64_t as_of_us) {
+        if(as_of_us == 0) {
+            return;
+        }
+        // The message was sent after its sender had received the heartbeat that it echoes.
+        const duration age_when_sent{message.sent_us() - as_of_us};
+        const auto as_of = time_point{duration{message.echo_us()}} - age_when_sent;
+        m_confirmations.confirm(what, confirmation::source::peer, from, as_of, at);
+    };
+    if(m_routes.configured() && beat.config_version() == raw(m_routes.current().version)) {
+        confirm(confirmation::subject::configuration, beat.config_as_of_us());
+    }
+    if(m_catalog.next() >= log_offset{beat.catalog_next()}) {
+        confirm(confirmation::subject::target_list, beat.catalog_as_of_us());
+    }
+    if(m_hosts_next >= log_offset{beat.hosts_next()}) {
+        confirm(confirmation::subject::host_list, beat.hosts_as_of_us());
+    }
+}
+
 void member::handle_cell_heartbeat(const wire::envelope &message, bool stepped_down) {
     const auto at = now();
     const host_id from{message.from()};
@@ -323,6 +351,7 @@
     }
     beat.set_config_version(m_routes.configured() ? raw(m_routes.current().version) : 0);
     beat.set_catalog_next(raw(m_catalog.next()));
+    fill_confirmations(beat);
     const auto at = now();
     for(const auto &known: m_contacts.next_gossip(at)) {
         auto &host = *beat.add_hosts();
@@ -342,6 +371,17 @@
     }
 }
 
+void member::fill_confirmations(wire::pool_heartbeat &beat) const {
+    const auto as_of_us = [this](confirmation::subject what) {
+        const auto as_of = m_confirmations.as_of(what);
+        return as_of ? internal::to_us(*as_of) : 0;
+    };
+    beat.set_config_as_of_us(as_of_us(confirmation::subject::configuration));
+    beat.set_catalog_as_of_us(as_of_us(confirmation::subject::target_list));
+    beat.set_hosts_as_of_us(as_of_us(confirmation::subject::host_list));
+    beat.set_hosts_next(raw(m_hosts_next));
+}
+
 void member::send_heartbeats(time_point now) {
     const auto due = m_contacts.due(now, [this](const host_id &host) { return m_leading || !m_leader || m_leader->host == host; });
     if(due.empty()) {
@@ -372,6 +412,12 @@
             wire::envelope message;
             message.mutable_pool_pulled()->set_config(newer_config);
             message.mutable_pool_pulled()->set_catalog(newer_catalog);
+            log_event(newer_config ? log_level::info : log_level::debug, "member", "peer_asked",
+                      {{"peer", id},
+                       {"config", newer_config},
+                       {"config_version", own_version},
+                       {"peer_config_version", peer.config_version},
+                       {"catalog", newer_catalog}});
             send(id, std::move(message));
             return;
         }
--- a/src/heathermoor/subscription/subscriptions.cpp
+++ b/src/heathermoor/subscription/subscriptions.cpp
@@ -24,6 +24,10 @@
 /// Polling of the list of hosts.
 constexpr feed::poll_timing hosts_timing{milliseconds{4'000}, milliseconds{0}};
 
+[[nodiscard]] confirmation::loss to_loss(feed::read_problem problem) noexcept {
+    return problem == feed::read_problem::overdue ? confirmation::loss::overdue : confirmation::loss::failed;
+}
+
 } // namespace internal
 
 config_subscription::config_subscription(member::member &member, feed::topic_port &topic, const record_decoder &decoder)
@@ -43,15 +47,16 @@
             log_event(log_level::error, "config", "config_unreadable", {{"offset", record.offset}});
             continue;
         }
-        const auto version = config->version;
-        if(m_member.apply_config(std::move(*config))) {
-            log_event(log_level::info, "config", "config_in_force", {{"version", version}, {"offset", record.offset}});
-        }
+        (void)m_member.apply_config(std::move(*config));
     }
 }
 
-void config_subscription::topic_reachable(bool reachable) {
-    m_member.store_reachable(reachable);
+void config_subscription::topic_confirmed(time_point as_of) {
+    m_member.store_confirmed(confirmation::subject::configuration, as_of);
+}
+
+void config_subscription::topic_unanswered(feed::read_problem problem) {
+    m_member.store_lost(confirmation::subject::configuration, internal::to_loss(problem));
 }
 
 target_subscription::target_subscription(member::member &member, feed::topic_port &topic, const record_decoder &decoder)
@@ -81,8 +86,12 @@
     m_member.apply_catalog(decoded, next, complete);
 }
 
-void target_subscription::topic_reachable(bool reachable) {
-    m_member.store_reachable(reachable);
+void target_subscription::topic_confirmed(time_point as_of) {
+    m_member.store_confirmed(confirmation::subject::target_list, as_of);
+}
+
+void target_subscription::topic_unanswered(feed::read_problem problem) {
+    m_member.store_lost(confirmation::subject::target_list, internal::to_loss(problem));
 }
 
 host_subscription::host_subscription(member::member &member, feed::topic_port &topic)
@@ -92,16 +101,21 @@
     m_follower.tick(now);
 }
 
-void host_subscription::topic_changed(const std::vector<feed::keyed_record> &records, log_offset, bool) {
+void host_subscription::topic_changed(const std::vector<feed::keyed_record> &records, log_offset next, bool) {
     for(const auto &record: records) {
         if(record.value && !record.key.empty()) {
             m_member.add_host(host_id{record.key}, failure_domain_id{*record.value});
         }
     }
+    m_member.hosts_read_to(next);
+}
+
+void host_subscription::topic_confirmed(time_point as_of) {
+    m_member.store_confirmed(confirmation::subject::host_list, as_of);
 }
 
-void host_subscription::topic_reachable(bool reachable) {
-    m_member.store_reachable(reachable);
+void host_subscription::topic_unanswered(feed::read_problem problem) {
+    m_member.store_lost(confirmation::subject::host_list, internal::to_loss(problem));
 }
 
 } // namespace heathermoor::subscription
--- a/src/heathermoor/subscription/subscriptions.hpp
+++ b/src/heathermoor/subscription/subscriptions.hpp
@@ -26,7 +26,8 @@
     void answered(feed::topic_page page, time_point now) { m_follower.answered(std::move(page), now); }
 
     void topic_changed(const std::vector<feed::keyed_record> &records, log_offset next, bool complete) override;
-    void topic_reachable(bool reachable) override;
+    void topic_confirmed(time_point as_of) override;
+    void topic_unanswered(feed::read_problem problem) override;
 
   private:
     member::member &m_member;
@@ -53,7 +54,8 @@
     void answered(feed::topic_page page, time_point now) { m_follower.answered(std::move(page), now); }
 
     void topic_changed(const std::vector<feed::keyed_record> &records, log_offset next, bool complete) override;
-    void topic_reachable(bool reachable) override;
+    void topic_confirmed(time_point as_of) override;
+    void topic_unanswered(feed::read_problem problem) override;
 
   private:
     member::member &m_member;
@@ -79,7 +81,8 @@
     void answered(feed::topic_page page, time_point now) { m_follower.answered(std::move(page), now); }
 
     void topic_changed(const std::vector<feed::keyed_record> &records, log_offset next, bool complete) override;
-    void topic_reachable(bool reachable) override;
+    void topic_confirmed(time_point as_of) override;
+    void topic_unanswered(feed::read_problem problem) override;
 
   private:
     member::member &m_member;
--- a/src/heathermoor/trace/explanation.cpp
+++ b/src/heathermoor/trace/explanation.cpp
@@ -10,9 +10,10 @@
 namespace internal {
 
 /// Events that change a host's view of the cluster and can affect many jobs at once.
-constexpr std::array host_events{"lead_taken",       "lead_given_up",    "leader_changed",    "scope_changed",    "target_taken",
-                                 "target_restarted", "config_in_force",  "entry_host_silent", "started",          "stopping",
-                                 "stopped",          "settings_invalid", "config_unreadable", "report_unreadable"};
+constexpr std::array host_events{"lead_taken",       "lead_given_up",    "leader_changed",    "scope_changed",     "target_taken",
+                                 "target_restarted", "config_in_force",  "entry_host_silent", "started",           "stopping",
+                                 "stopped",          "settings_invalid", "config_unreadable", "report_unreadable", "source_lost",
+                                 "source_regained",  "peer_asked"};
 
 /// Events that end a job or request, by priority: the event closest to the cause comes first.
 constexpr std::array deciding_events{"request_rejected", "job_answered", "job_ended", "request_abandoned", "request_answered"};
--- a/tests/feed/topic_follower.cpp
+++ b/tests/feed/topic_follower.cpp
@@ -16,7 +16,14 @@
         last_next = raw(next);
         completes += complete ? 1 : 0;
     }
-    void topic_reachable(bool answer) override { reachable = answer; }
+    void topic_confirmed(time_point as_of) override {
+        confirmed = as_of;
+        reachable = true;
+    }
+    void topic_unanswered(read_problem problem) override {
+        problems.push_back(problem);
+        reachable = false;
+    }
 
     std::vector<std::string> newest;
     std::vector<std::uint64_t> reads;
@@ -24,6 +31,8 @@
     std::uint64_t last_next{};
     int completes{};
     bool reachable{};
+    time_point confirmed{};
+    std::vector<read_problem> problems;
 };
 
 [[nodiscard]] topic_page page(std::uint64_t end, std::vector<std::uint64_t> offsets, std::string next_key = {}) {
--- a/tests/support/pool_world.cpp
+++ b/tests/support/pool_world.cpp
@@ -22,9 +22,46 @@
 constexpr duration caller_deadline = milliseconds{1'500};
 constexpr duration step = milliseconds{1};
 
+/// Time that the store needs for an answer.
+constexpr duration store_latency = milliseconds{4};
+
+/// Timeout of a read beyond its wait.
+constexpr duration read_timeout = milliseconds{1'500};
+
+/// Time in which hosts notice a silent connection to each other and replace it.
+constexpr duration peer_reconnect = milliseconds{950};
+
+/// Time in which a connection between hosts is established.
+constexpr duration connect_time = milliseconds{3};
+
+/// The operators' limit: time from the store's confirmation until a version must be in force.
+constexpr duration apply_limit = milliseconds{2'000};
+
+/// Time after a disruption of its connections from which a host must keep the limit.
+constexpr duration disruption_limit = milliseconds{3'000};
+
+struct version_decoder final : subscription::record_decoder {
+    [[nodiscard]] std::optional<route::route_config> decode_config(const std::string &value) const override {
+        if(value.empty() || value.find_first_not_of("0123456789") != std::string::npos) {
+            return std::nullopt;
+        }
+        route::route_config config;
+        config.version = config_version{std::stoull(value)};
+        return config;
+    }
+    [[nodiscard]] std::optional<catalog::target_entry> decode_target(const std::string &, const std::string &) const override {
+        return std::nullopt;
+    }
+};
+
 } // namespace
 
-struct pool_world::host_state final : port::peer_port, pool::order_port, gateway::caller_port, member::statistics_port, port::clock_port {
+struct pool_world::host_state final : port::peer_port,
+                                      pool::order_port,
+                                      gateway::caller_port,
+                                      member::statistics_port,
+                                      port::clock_port,
+                                      feed::topic_port {
     host_state(pool_world &owner, std::size_t position) : world{owner}, index{position} {}
 
     void send(const host_id &to, wire::envelope message) override {
@@ -32,7 +69,9 @@
         const auto from = index;
         ++messages_sent;
         bytes_sent += message.ByteSizeLong();
-        if(!world.reaches_host(from, peer)) {
+        const auto connection = connections.find(to);
+        const bool connected = connection != connections.end() && world.m_now >= connection->second;
+        if(!connected || !world.reaches_host(from, peer)) {
             return;
         }
         world.at(latency, [this, from, peer, message = std::move(message)] {
@@ -42,8 +81,11 @@
             }
         });
     }
-    void connect(const host_id &, const std::string &) override {}
-    void disconnect(const host_id &) override {}
+    void connect(const host_id &to, const std::string &) override { connections.try_emplace(to, world.m_now + connect_time); }
+    void disconnect(const host_id &to) override { connections.erase(to); }
+
+    void read_newest(const std::string &) override { world.read_config(index, std::nullopt, milliseconds{0}); }
+    void read_from(log_offset from, milliseconds wait) override { world.read_config(index, raw(from), wait); }
 
     void start(const pool::start_order &order) override {
         world.at(latency, [this, order, sender = process] { world.deliver_start(index, sender, order); });
@@ -77,7 +119,10 @@
     milliseconds clock_error{};
     zero_work_clock work_clock;
     metrics::work_meter work{work_clock};
+    /// Connections to other hosts, with the time from which they are established.
+    std::map<host_id, time_point> connections;
     std::unique_ptr<member::member> host;
+    std::unique_ptr<subscription::config_subscription> config;
 };
 
 pool_world::pool_world(options chosen) : m_options{chosen}, m_random{chosen.seed}, m_faults{chosen.faults} {
@@ -97,6 +142,7 @@
     for(auto &target: m_targets) {
         target.reboot(m_now);
     }
+    m_versions.push_back({1, true, m_now});
     const auto hosts = chosen.domains * chosen.hosts_per_domain;
     for(std::size_t index = 0; index < hosts; ++index) {
         m_hosts.push_back(std::make_unique<host_state>(*this, index));
@@ -124,6 +170,10 @@
     if(m_cut_hosts.contains(from) || m_cut_hosts.contains(to)) {
         return false;
     }
+    const auto silent = m_silent_links.find({from, to});
+    if(silent != m_silent_links.end() && m_now < silent->second) {
+        return false;
+    }
     const auto a = domain_of(from);
     const auto b = domain_of(to);
     return a == b || (!m_cut_domains.contains(a) && !m_cut_domains.contains(b));
@@ -162,7 +212,7 @@
         }
     }
     m_hosts.at(host)->host->apply_catalog(records, log_offset{m_next_offset}, true);
-    m_hosts.at(host)->host->store_reachable(true);
+    m_hosts.at(host)->host->store_confirmed(confirmation::subject::target_list, m_now);
     for(std::size_t other = 0; other < m_hosts.size(); ++other) {
         m_hosts.at(host)->host->add_host(host_id{std::to_string(other)}, failure_domain_id{fmt::format("d{}", domain_of(other))});
     }
@@ -183,10 +233,13 @@
     for(std::size_t other = 0; other < 2; ++other) {
         settings.seeds.emplace_back(std::to_string(other));
     }
+    state.connections.clear();
     state.host = std::make_unique<member::member>(settings, member::ports{state, state, state, state, state, state.work});
     route::route_config config;
     config.version = config_version{1};
     (void)state.host->apply_config(std::move(config));
+    static const version_decoder decoder;
+    state.config = std::make_unique<subscription::config_subscription>(*state.host, state, decoder);
     refresh_catalog(host);
     if(!m_stored_statistics.empty()) {
         state.host->restore_statistics({m_stored_statistics});
@@ -197,6 +250,7 @@
 void pool_world::tick(std::size_t host, std::uint64_t process) {
     on_host(host, process, [this, host, process](member::member &member) {
         member.tick(duration{});
+        m_hosts.at(host)->config->tick(m_now);
         if(m_random() % 20 == 0) {
             refresh_catalog(host);
         }
@@ -211,6 +265,7 @@
     }
     state.running = false;
     ++state.process;
+    state.config.reset();
     state.host.reset();
     std::vector<open_call> lost;
     std::erase_if(m_callers, [&](const auto &item) {
@@ -274,6 +329,111 @@
     m_unlisted.at(target) = unlisted;
 }
 
+void pool_world::publish_config() {
+    store_config(true);
+}
+
+void pool_world::publish_unreadable_config() {
+    store_config(false);
+}
+
+void pool_world::store_config(bool readable) {
+    m_versions.push_back({m_versions.back().version + 1, readable, m_now});
+    std::vector<std::uint64_t> reads;
+    for(const auto &[id, read]: m_config_waits) {
+        reads.push_back(id);
+    }
+    for(const auto id: reads) {
+        answer_config(id);
+    }
+}
+
+void pool_world::read_config(std::size_t host, std::optional<std::uint64_t> from, milliseconds wait) {
+    ++m_config_reads;
+    const auto id = m_config_reads;
+    const config_read read{host, m_hosts.at(host)->process, from.value_or(m_versions.size() - 1),
+                           m_store_cut || m_muted_hosts.contains(host)};
+    m_config_waits.emplace(id, read);
+    if(read.from < m_versions.size() || wait == milliseconds{0}) {
+        at(store_latency, [this, id] { answer_config(id); });
+    } else {
+        at(wait + store_latency, [this, id] { answer_config(id); });
+    }
+    at(wait + read_timeout, [this, id, read] {
+        if(m_config_waits.erase(id) > 0) {
+            deliver_config(read, {});
+        }
+    });
+}
+
+void pool_world::answer_config(std::uint64_t id) {
+    const auto found = m_config_waits.find(id);
+    if(found == m_config_waits.end() || found->second.lost) {
+        return;
+    }
+    const auto read = found->second;
+    m_config_waits.erase(found);
+    feed::topic_page page;
+    page.result = feed::read_result::done;
+    page.end = log_offset{m_versions.size()};
+    for(auto offset = read.from; offset < m_versions.size(); ++offset) {
+        const auto &record = m_versions[offset];
+        page.records.push_back({log_offset{offset}, "config", record.readable ? std::to_string(record.version) : "unreadable"});
+    }
+    deliver_config(read, std::move(page));
+}
+
+void pool_world::deliver_config(const config_read &read, feed::topic_page page) {
+    at(store_latency, [this, read, page = std::move(page)] {
+        on_host(read.host, read.process,
+                [this, host = read.host, page](member::member &) { m_hosts.at(host)->config->answered(page, m_now); });
+    });
+}
+
+void pool_world::silence_connections(double share) {
+    std::uniform_real_distribution<double> draw;
+    m_silenced_at = m_now;
+    for(auto &[id, read]: m_config_waits) {
+        read.lost = read.lost || draw(m_random) < share;
+    }
+    for(std::size_t from = 0; from < m_hosts.size(); ++from) {
+        for(std::size_t to = 0; to < m_hosts.size(); ++to) {
+            if(draw(m_random) < share) {
+                m_silent_links[{from, to}] = m_now + peer_reconnect;
+            }
+        }
+    }
+}
+
+void pool_world::mute_store(std::size_t host, bool mute) {
+    if(!mute) {
+        m_muted_hosts.erase(host);
+        return;
+    }
+    m_muted_hosts.insert(host);
+    for(auto &[id, read]: m_config_waits) {
+        read.lost = read.lost || read.host == host;
+    }
+}
+
+std::uint64_t pool_world::promised_version() const {
+    std::uint64_t promised = 0;
+    if(m_silenced_at && m_now - *m_silenced_at < disruption_limit) {
+        return promised;
+    }
+    for(const auto &record: m_versions) {
+        if(record.readable && m_now - record.stored_at >= apply_limit) {
+            promised = record.version;
+        }
+    }
+    return promised;
+}
+
+std::uint64_t pool_world::version(std::size_t host) const {
+    const auto &state = *m_hosts.at(host);
+    return state.running && state.host->routes().configured() ? raw(state.host->routes().current().version) : 0;
+}
+
 bool pool_world::draw_late_order() {
     return std::uniform_real_distribution<double>{}(m_random) < m_faults.late_orders;
 }
--- a/tests/support/pool_world.hpp
+++ b/tests/support/pool_world.hpp
@@ -1,6 +1,7 @@
 #pragma once
 
 #include "heathermoor/member/member.hpp"
+#include "heathermoor/subscription/subscriptions.hpp"
 #include "model/target.hpp"
 #include <deque>
 #include <functional>
@@ -67,6 +68,25 @@
     void cut_store(bool cut) { m_store_cut = cut; }
     void set_faults(world_faults faults) { m_faults = faults; }
 
+    /// @brief Stores a new version of the configuration, one higher than the latest.
+    void publish_config();
+    /// @brief Stores a version of the configuration that no host can decode.
+    void publish_unreadable_config();
+    /// @brief Silences open connections without closing them: reads that the store has not answered yet are never answered, and
+    /// messages between hosts are lost until the hosts have noticed and reconnected. New connections work.
+    /// @param share Share of the connections, from 0 to 1.
+    void silence_connections(double share);
+    /// @brief Makes the store accept the reads of a host without ever answering them, or answer again.
+    void mute_store(std::size_t host, bool mute);
+    /// @brief Lowest version that each running host must have in force at present.
+    [[nodiscard]] std::uint64_t promised_version() const;
+    /// @brief Version in force on a host; zero for none.
+    [[nodiscard]] std::uint64_t version(std::size_t host) const;
+    /// @brief Latest version on the store.
+    [[nodiscard]] std::uint64_t latest_version() const { return m_versions.back().version; }
+    /// @brief Reads of the configuration by all hosts since the start of the simulation.
+    [[nodiscard]] std::uint64_t config_reads() const noexcept { return m_config_reads; }
+
     /// @brief Violations of the guarantees so far, one line each.
     [[nodiscard]] const std::vector<std::string> &violations() const noexcept { return m_violations; }
     [[nodiscard]] std::size_t leader() const;
@@ -102,6 +122,18 @@
         std::uint64_t process{};
         std::uint32_t attempt{};
     };
+    struct config_record {
+        std::uint64_t version{};
+        bool readable{true};
+        time_point stored_at;
+    };
+    /// Read of the configuration that the store has not answered yet.
+    struct config_read {
+        std::size_t host{};
+        std::uint64_t process{};
+        std::uint64_t from{};
+        bool lost{};
+    };
     friend struct host_state;
 
     void at(duration delay, std::function<void()> act);
@@ -118,6 +150,10 @@
     [[nodiscard]] bool reaches_target(std::size_t from, std::size_t target) const;
     [[nodiscard]] std::uint32_t domain_of(std::size_t host) const;
     void refresh_catalog(std::size_t host);
+    void read_config(std::size_t host, std::optional<std::uint64_t> from, milliseconds wait);
+    void answer_config(std::uint64_t read);
+    void store_config(bool readable);
+    void deliver_config(const config_read &read, feed::topic_page page);
     void deliver_start(std::size_t from, std::uint64_t process, const pool::start_order &order);
     void deliver_stop(std::size_t from, std::uint64_t process, const pool::stop_order &order);
     void deliver_report(std::size_t from, std::uint64_t process, const pool::report_order &order);
@@ -133,6 +169,13 @@
     std::vector<bool> m_unlisted;
     std::map<target_id, std::size_t> m_target_index;
     bool m_store_cut{};
+    std::vector<config_record> m_versions;
+    std::map<std::uint64_t, config_read> m_config_waits;
+    std::uint64_t m_config_reads{};
+    std::set<std::size_t> m_muted_hosts;
+    /// Until when messages from one host to another are lost.
+    std::map<std::pair<std::size_t, std::size_t>, time_point> m_silent_links;
+    std::optional<time_point> m_silenced_at;
     std::set<std::uint32_t> m_cut_domains;
     std::set<std::size_t> m_cut_hosts;
     std::set<std::size_t> m_cut_targets;
