Bound how long a host can be wrong about the configuration, whatever its reads hang on

Cause: every host waited for a change with a read of up to 20 s and a timeout of 21.5 s, where the promise is 2 s, and nobody asked whether that read could still be answered. The list of hosts (4.4 s) and of targets (2.6 s) waited on dead connections in the same way.

A follower of a topic replaces a read that is overdue by 0.4 s (doubling to 1 s) by one on another connection, and still takes the first one's answer. A leader has its configuration confirmed by the store once a second, and so does a host that no other one confirms; heartbeats carry the confirmation to the others, which keep their long read and replace it when the confirmation is 1.75 s old, or when a peer has passed on a version that the read has not returned. Why it works: no host relies on a connection or on one source, but on a time of confirmation that is counted conservatively; whatever stops it, the age shows. The list of hosts is read every 4 s by those whom nobody confirms, by others when a peer knows a longer list.

--- a/src/heathermoor/confirmation/confirmation_monitor.cpp
+++ b/src/heathermoor/confirmation/confirmation_monitor.cpp
@@ -7,7 +7,7 @@
 namespace internal {
 
 [[nodiscard]] constexpr std::string_view name_of(loss why) noexcept {
-    constexpr std::array<std::string_view, 3> names{"failed", "overdue", "expired"};
+    constexpr std::array<std::string_view, 4> names{"failed", "overdue", "suspected", "expired"};
     return names.at(static_cast<std::size_t>(why));
 }
 
--- a/src/heathermoor/confirmation/confirmation_monitor.hpp
+++ b/src/heathermoor/confirmation/confirmation_monitor.hpp
@@ -33,6 +33,8 @@
     failed,
     /// A read is not answered although its wait is over.
     overdue,
+    /// A read is taken to be lost because of other evidence, such as a peer that knows more.
+    suspected,
     /// The latest confirmation is older than the limit of its subject.
     expired,
 };
--- a/src/heathermoor/member/member.cpp
+++ b/src/heathermoor/member/member.cpp
@@ -86,6 +86,9 @@
     if(!m_routes.apply(std::move(config))) {
         return false;
     }
+    if(!peer.empty()) {
+        m_config_from_peer_at = now();
+    }
     const auto by = peer.empty() ? name_of(confirmation::source::store) : std::string_view{peer.str()};
     log_event(log_level::info, "config", "config_in_force", {{"version", m_routes.current().version}, {"before", before}, {"by", by}});
     return true;
--- a/src/heathermoor/member/member.hpp
+++ b/src/heathermoor/member/member.hpp
@@ -191,6 +191,14 @@
     /// @return Monitor as of the latest tick.
     [[nodiscard]] const confirmation::confirmation_monitor &confirmations() const noexcept { return m_confirmations; }
 
+    /// @brief When a peer last passed on a configuration version that the store had not returned yet.
+    /// @return Monotonic time; empty if none did.
+    [[nodiscard]] std::optional<time_point> config_from_peer_at() const noexcept { return m_config_from_peer_at; }
+
+    /// @brief Whether a peer has read more of the store's list of hosts than this host.
+    /// @return True until `hosts_read_to` catches up.
+    [[nodiscard]] bool host_list_behind() const noexcept { return m_peer_hosts_next > m_hosts_next; }
+
     /// @brief Number of jobs in a queue of which no task has started.
     /// @param queue Queue name; an unknown one has no jobs.
     /// @return Count, on a follower up to two heartbeats old.
@@ -249,6 +257,9 @@
     catalog::target_catalog m_catalog;
     confirmation::confirmation_monitor m_confirmations;
     log_offset m_hosts_next{};
+    /// Longest list of hosts that a peer has reported, as the offset after its last record.
+    log_offset m_peer_hosts_next{};
+    std::optional<time_point> m_config_from_peer_at;
     election::leader_election m_election;
     gateway::gateway m_gateway;
     contact::peer_directory m_contacts;
--- a/src/heathermoor/member/member_messages.cpp
+++ b/src/heathermoor/member/member_messages.cpp
@@ -156,6 +156,7 @@
     for(const auto &host: beat.hosts()) {
         add_host(host_id{host.id()}, failure_domain_id{host.domain()});
     }
+    m_peer_hosts_next = std::max(m_peer_hosts_next, log_offset{beat.hosts_next()});
     take_confirmations(message);
     if(beat.introduces()) {
         introduce_self(from);
--- a/src/heathermoor/subscription/subscriptions.cpp
+++ b/src/heathermoor/subscription/subscriptions.cpp
@@ -1,6 +1,8 @@
 #include "heathermoor/subscription/subscriptions.hpp"
 
 #include "heathermoor/core/event.hpp"
+#include <algorithm>
+#include <chrono>
 #include <utility>
 
 namespace heathermoor::subscription {
@@ -10,8 +12,20 @@
 /// Key of the configuration among the operators' records.
 constexpr auto config_key = "config";
 
-/// Long polling of the configuration; the store answers as soon as it changes.
-constexpr feed::poll_timing config_timing{milliseconds{0}, milliseconds{20'000}};
+/// Long polling of the configuration by a host that another one confirms; the store answers as soon as it changes.
+constexpr milliseconds config_wait_confirmed{20'000};
+
+/// Time within which a host that no other one confirms has its configuration confirmed by the store.
+constexpr milliseconds config_confirm_interval{1'000};
+
+/// Shortest wait of a read that is to confirm the configuration.
+constexpr milliseconds min_config_wait{250};
+
+/// Age of the configuration at which the pending read of a leader is suspected: its followers rely on it.
+constexpr milliseconds config_age_limit_leading{1'400};
+
+/// Time after a peer has passed on a version in which the store answers a read that waits for it.
+constexpr milliseconds peer_lead_limit{400};
 
 /// Polling of the list of targets by the leader: well within the time after which
 /// a draining target must get no new work.
@@ -21,19 +35,63 @@
 /// has to know within the same time which targets are draining.
 constexpr feed::poll_timing targets_timing_following{milliseconds{1'000}, milliseconds{0}};
 
-/// Polling of the list of hosts.
+/// Polling of the list of hosts by a host that no other one confirms.
 constexpr feed::poll_timing hosts_timing{milliseconds{4'000}, milliseconds{0}};
 
+/// Polling of the list of hosts by a host that another one confirms.
+constexpr feed::poll_timing hosts_timing_confirmed{milliseconds{20'000}, milliseconds{0}};
+
 [[nodiscard]] confirmation::loss to_loss(feed::read_problem problem) noexcept {
-    return problem == feed::read_problem::overdue ? confirmation::loss::overdue : confirmation::loss::failed;
+    switch(problem) {
+    case feed::read_problem::overdue:
+        return confirmation::loss::overdue;
+    case feed::read_problem::suspected:
+        return confirmation::loss::suspected;
+    case feed::read_problem::failed:
+        break;
+    }
+    return confirmation::loss::failed;
+}
+
+/// Whether another host confirms a subject, so that this host need not have it confirmed by the store.
+[[nodiscard]] bool confirmed_by_peer(const member::member &member, confirmation::subject what, time_point now) {
+    const auto &as_of = member.confirmations().state(what, confirmation::source::peer).as_of;
+    return !member.leading() && as_of && now - *as_of <= confirmation::limit_of(what);
 }
 
 } // namespace internal
 
 config_subscription::config_subscription(member::member &member, feed::topic_port &topic, const record_decoder &decoder)
-    : m_member{member}, m_decoder{decoder}, m_follower{topic, *this, internal::config_timing} {}
+    : m_member{member}, m_decoder{decoder}, m_follower{topic, *this, {milliseconds{0}, internal::config_confirm_interval}} {}
+
+milliseconds config_subscription::wait(time_point now) const {
+    if(internal::confirmed_by_peer(m_member, confirmation::subject::configuration, now)) {
+        return internal::config_wait_confirmed;
+    }
+    const auto age = m_member.confirmations().age(confirmation::subject::configuration, now);
+    if(age >= internal::config_confirm_interval) {
+        return milliseconds{0};
+    }
+    const auto left = std::chrono::duration_cast<milliseconds>(internal::config_confirm_interval - age);
+    return std::max(internal::min_config_wait, left);
+}
+
+bool config_subscription::read_is_suspect(time_point now) const {
+    const auto subject = confirmation::subject::configuration;
+    const auto limit = m_member.leading() ? duration{internal::config_age_limit_leading} : confirmation::limit_of(subject);
+    if(m_member.confirmations().age(subject, now) > limit) {
+        return true;
+    }
+    const auto passed_on = m_member.config_from_peer_at();
+    const auto started = m_follower.pending_since();
+    return passed_on && started && *started < *passed_on && now - *passed_on > internal::peer_lead_limit;
+}
 
 void config_subscription::tick(time_point now) {
+    m_follower.set_timing({milliseconds{0}, wait(now)});
+    if(read_is_suspect(now)) {
+        m_follower.suspect_read(now);
+    }
     m_follower.tick(now);
 }
 
@@ -98,6 +156,11 @@
     : m_member{member}, m_follower{topic, *this, internal::hosts_timing} {}
 
 void host_subscription::tick(time_point now) {
+    const bool confirmed = internal::confirmed_by_peer(m_member, confirmation::subject::host_list, now);
+    m_follower.set_timing(confirmed ? internal::hosts_timing_confirmed : internal::hosts_timing);
+    if(m_member.host_list_behind()) {
+        m_follower.read_soon(now);
+    }
     m_follower.tick(now);
 }
 
--- a/src/heathermoor/subscription/subscriptions.hpp
+++ b/src/heathermoor/subscription/subscriptions.hpp
@@ -8,6 +8,10 @@
 namespace heathermoor::subscription {
 
 /// @brief Follows the operators' configuration on the store and passes each version to the member.
+///
+/// A leader, or a host that no other one confirms, has the configuration confirmed by the store
+/// about once a second. Other hosts wait for a change with one long read, which is replaced as soon as
+/// their confirmation by peers expires or a peer knows a version that the read has not returned.
 class config_subscription final : public feed::topic_listener {
   public:
     /// @brief Creates a subscription; the first read begins with the first `tick`.
@@ -30,6 +34,9 @@
     void topic_unanswered(feed::read_problem problem) override;
 
   private:
+    [[nodiscard]] milliseconds wait(time_point now) const;
+    [[nodiscard]] bool read_is_suspect(time_point now) const;
+
     member::member &m_member;
     const record_decoder &m_decoder;
     feed::topic_follower m_follower;
@@ -64,6 +71,8 @@
 };
 
 /// @brief Follows the list of hosts on the store and passes new hosts to the member.
+///
+/// A host that another one confirms reads the list when that one knows a longer list.
 class host_subscription final : public feed::topic_listener {
   public:
     /// @brief Creates a subscription; the first read begins with the first `tick`.
--- a/tests/feed/topic_follower.cpp
+++ b/tests/feed/topic_follower.cpp
@@ -9,8 +9,14 @@
 namespace {
 
 struct fake_topic final : topic_port, topic_listener {
-    void read_newest(const std::string &after) override { newest.push_back(after); }
-    void read_from(log_offset from, milliseconds) override { reads.push_back(raw(from)); }
+    void read_newest(read_id read, const std::string &after) override {
+        latest = read;
+        newest.push_back(after);
+    }
+    void read_from(read_id read, log_offset from, milliseconds) override {
+        latest = read;
+        reads.push_back(raw(from));
+    }
     void topic_changed(const std::vector<keyed_record> &records, log_offset next, bool complete) override {
         taken += records.size();
         last_next = raw(next);
@@ -25,6 +31,8 @@
         reachable = false;
     }
 
+    /// Read that the next answer belongs to.
+    read_id latest{};
     std::vector<std::string> newest;
     std::vector<std::uint64_t> reads;
     std::size_t taken{};
@@ -35,8 +43,9 @@
     std::vector<read_problem> problems;
 };
 
-[[nodiscard]] topic_page page(std::uint64_t end, std::vector<std::uint64_t> offsets, std::string next_key = {}) {
+[[nodiscard]] topic_page page(read_id read, std::uint64_t end, std::vector<std::uint64_t> offsets, std::string next_key = {}) {
     topic_page result;
+    result.read = read;
     result.result = read_result::done;
     result.end = log_offset{end};
     result.next_key = std::move(next_key);
@@ -46,6 +55,12 @@
     return result;
 }
 
+[[nodiscard]] topic_page failed(read_id read) {
+    topic_page result;
+    result.read = read;
+    return result;
+}
+
 } // namespace
 
 SCENARIO("A topic is read as a snapshot, then followed by offset", "[feed]") {
@@ -54,27 +69,27 @@
     time_point now{seconds{1}};
     follower.tick(now);
     REQUIRE(topic.newest == std::vector<std::string>{""});
-    follower.answered(page(7, {2, 4}, "k4"), now);
+    follower.answered(page(topic.latest, 7, {2, 4}, "k4"), now);
     follower.tick(now);
     REQUIRE(topic.newest.back() == "k4");
     CHECK(topic.completes == 0);
-    follower.answered(page(9, {5}), now);
+    follower.answered(page(topic.latest, 9, {5}), now);
     CHECK(topic.completes == 1);
     CHECK(topic.taken == 3);
 
     THEN("changes since the first page are read and none is skipped") {
         follower.tick(now);
         CHECK(topic.reads == std::vector<std::uint64_t>{7});
-        follower.answered(page(9, {7, 8}), now);
+        follower.answered(page(topic.latest, 9, {7, 8}), now);
         follower.tick(now);
         CHECK(topic.reads.back() == 9);
-        follower.answered(page(9, {}), now);
+        follower.answered(page(topic.latest, 9, {}), now);
         follower.tick(now);
         CHECK(topic.reads.back() == 9);
     }
     THEN("a failed read is retried after a delay that grows to a second") {
         follower.tick(now);
-        follower.answered({}, now);
+        follower.answered(failed(topic.latest), now);
         CHECK_FALSE(topic.reachable);
         follower.tick(now + milliseconds{100});
         CHECK(topic.reads.size() == 1);
@@ -82,7 +97,7 @@
         CHECK(topic.reads.size() == 2);
         for(int count = 0; count < 6; ++count) {
             now += seconds{2};
-            follower.answered({}, now);
+            follower.answered(failed(topic.latest), now);
             follower.tick(now + milliseconds{1'000});
         }
         CHECK(topic.reads.size() == 8);
@@ -90,7 +105,7 @@
     THEN("a shorter interval makes the next read due earlier") {
         follower.set_timing({seconds{3}, milliseconds{0}});
         follower.tick(now);
-        follower.answered(page(9, {7, 8}), now);
+        follower.answered(page(topic.latest, 9, {7, 8}), now);
         follower.tick(now + milliseconds{600});
         CHECK(topic.reads.size() == 1);
         follower.set_timing({milliseconds{500}, milliseconds{0}});
@@ -100,9 +115,60 @@
     THEN("lost history leads to a new snapshot") {
         follower.tick(now);
         topic_page lost;
+        lost.read = topic.latest;
         lost.result = read_result::history_lost;
         follower.answered(lost, now);
         follower.tick(now);
         CHECK(topic.newest.size() == 3);
     }
+    // Guards against a wait of 20 s on a connection that is dead: no change was read until it timed out.
+    THEN("a read that is overdue is replaced by another one") {
+        follower.tick(now);
+        const auto first = topic.latest;
+        const auto overdue = now + seconds{20} + milliseconds{500};
+        follower.tick(overdue - milliseconds{200});
+        CHECK(topic.reads.size() == 1);
+        follower.tick(overdue);
+        CHECK(topic.reads == std::vector<std::uint64_t>{7, 7});
+        CHECK(topic.problems == std::vector<read_problem>{read_problem::overdue});
+
+        AND_THEN("the late answer of the first read counts, and its failure does not") {
+            follower.answered(page(first, 9, {7, 8}), overdue);
+            CHECK(topic.last_next == 9);
+            follower.answered(failed(first), overdue);
+            CHECK(topic.problems.size() == 1);
+            follower.answered(page(topic.latest, 10, {7, 8, 9}), overdue);
+            CHECK(topic.last_next == 10);
+            follower.tick(overdue);
+            CHECK(topic.reads.back() == 10);
+        }
+        AND_THEN("further reads that are not answered are replaced after a longer time") {
+            follower.set_timing({milliseconds{0}, milliseconds{0}});
+            std::size_t before = topic.reads.size();
+            follower.answered(failed(topic.latest), overdue);
+            for(milliseconds passed{0}; passed < seconds{10}; passed += milliseconds{25}) {
+                follower.tick(overdue + passed);
+            }
+            CHECK(topic.reads.size() - before >= 8);
+            CHECK(topic.reads.size() - before <= 12);
+        }
+    }
+    THEN("a suspected read is replaced, but not one that has only just started") {
+        follower.tick(now);
+        follower.suspect_read(now + milliseconds{500});
+        follower.tick(now + milliseconds{500});
+        CHECK(topic.reads.size() == 1);
+        follower.suspect_read(now + seconds{2});
+        follower.tick(now + seconds{2});
+        CHECK(topic.reads.size() == 2);
+        CHECK(topic.problems == std::vector<read_problem>{read_problem::suspected});
+    }
+    THEN("a read that reached the end confirms the topic as of the time at which the store had surely not answered yet") {
+        follower.tick(now);
+        follower.answered(page(topic.latest, 9, {7, 8}), now + seconds{3});
+        CHECK(topic.confirmed == now);
+        follower.tick(now + seconds{3});
+        follower.answered(page(topic.latest, 9, {}), now + seconds{24});
+        CHECK(topic.confirmed == now + seconds{23});
+    }
 }
--- a/tests/support/pool_world.cpp
+++ b/tests/support/pool_world.cpp
@@ -84,8 +84,8 @@
     void connect(const host_id &to, const std::string &) override { connections.try_emplace(to, world.m_now + connect_time); }
     void disconnect(const host_id &to) override { connections.erase(to); }
 
-    void read_newest(const std::string &) override { world.read_config(index, std::nullopt, milliseconds{0}); }
-    void read_from(log_offset from, milliseconds wait) override { world.read_config(index, raw(from), wait); }
+    void read_newest(feed::read_id read, const std::string &) override { world.read_config(index, read, std::nullopt, milliseconds{0}); }
+    void read_from(feed::read_id read, log_offset from, milliseconds wait) override { world.read_config(index, read, raw(from), wait); }
 
     void start(const pool::start_order &order) override {
         world.at(latency, [this, order, sender = process] { world.deliver_start(index, sender, order); });
@@ -348,10 +348,10 @@
     }
 }
 
-void pool_world::read_config(std::size_t host, std::optional<std::uint64_t> from, milliseconds wait) {
+void pool_world::read_config(std::size_t host, feed::read_id number, std::optional<std::uint64_t> from, milliseconds wait) {
     ++m_config_reads;
     const auto id = m_config_reads;
-    const config_read read{host, m_hosts.at(host)->process, from.value_or(m_versions.size() - 1),
+    const config_read read{number, host, m_hosts.at(host)->process, from.value_or(m_versions.size() - 1),
                            m_store_cut || m_muted_hosts.contains(host)};
     m_config_waits.emplace(id, read);
     if(read.from < m_versions.size() || wait == milliseconds{0}) {
@@ -384,6 +384,7 @@
 }
 
 void pool_world::deliver_config(const config_read &read, feed::topic_page page) {
+    page.read = read.number;
     at(store_latency, [this, read, page = std::move(page)] {
         on_host(read.host, read.process,
                 [this, host = read.host, page](member::member &) { m_hosts.at(host)->config->answered(page, m_now); });
--- a/tests/support/pool_world.hpp
+++ b/tests/support/pool_world.hpp
@@ -129,6 +129,7 @@
     };
     /// Read of the configuration that the store has not answered yet.
     struct config_read {
+        feed::read_id number{};
         std::size_t host{};
         std::uint64_t process{};
         std::uint64_t from{};
@@ -150,7 +151,7 @@
     [[nodiscard]] bool reaches_target(std::size_t from, std::size_t target) const;
     [[nodiscard]] std::uint32_t domain_of(std::size_t host) const;
     void refresh_catalog(std::size_t host);
-    void read_config(std::size_t host, std::optional<std::uint64_t> from, milliseconds wait);
+    void read_config(std::size_t host, feed::read_id number, std::optional<std::uint64_t> from, milliseconds wait);
     void answer_config(std::uint64_t read);
     void store_config(bool readable);
     void deliver_config(const config_read &read, feed::topic_page page);
