Apply the limits on requests of a configuration that comes from a peer

What callers saw: with a version that came from a peer first, the limits on headers, bodies and idle connections stayed those of an earlier version, until the next version came from the store. Cause: only the path from the store passed them to the HTTP server, and only if it was the first to bring the version. Change: the member tells a listener of each version that takes effect, from whatever source; the program sets the limits there.

--- a/src/heathermoor/member/member.hpp
+++ b/src/heathermoor/member/member.hpp
@@ -40,6 +40,14 @@
     virtual void save_statistics(const std::string &name, const std::string &bytes) = 0;
 };
 
+/// @brief Receives each configuration that takes effect, from whatever source it came.
+class config_listener : public interface {
+  public:
+    /// @brief Called after a version was applied.
+    /// @param config Configuration in force; valid during the call.
+    virtual void config_changed(const route::route_config &config) = 0;
+};
+
 /// @brief Ports of one host of a shared pool.
 struct ports {
     port::peer_port &peers;
@@ -49,6 +57,7 @@
     port::clock_port &clock;
     /// Measures CPU time of the calling thread by kind of work.
     metrics::work_meter &work;
+    config_listener &config;
 };
 
 /// @brief One host of a shared pool: gateway for its callers and candidate for leader.
--- a/tests/support/pool_world.cpp
+++ b/tests/support/pool_world.cpp
@@ -61,7 +61,8 @@
                                       gateway::caller_port,
                                       member::statistics_port,
                                       port::clock_port,
-                                      feed::topic_port {
+                                      feed::topic_port,
+                                      member::config_listener {
     host_state(pool_world &owner, std::size_t position) : world{owner}, index{position} {}
 
     void send(const host_id &to, wire::envelope message) override {
@@ -103,6 +104,8 @@
 
     void save_statistics(const std::string &, const std::string &bytes) override { world.m_stored_statistics = bytes; }
 
+    void config_changed(const route::route_config &) override {}
+
     [[nodiscard]] time_point now() const override { return world.m_now; }
     [[nodiscard]] std::chrono::milliseconds unix_now() const override {
         return std::chrono::duration_cast<milliseconds>(world.m_now.time_since_epoch()) + clock_error;
@@ -234,7 +237,7 @@
         settings.seeds.emplace_back(std::to_string(other));
     }
     state.connections.clear();
-    state.host = std::make_unique<member::member>(settings, member::ports{state, state, state, state, state, state.work});
+    state.host = std::make_unique<member::member>(settings, member::ports{state, state, state, state, state, state.work, state});
     route::route_config config;
     config.version = config_version{1};
     (void)state.host->apply_config(std::move(config));
