Ask a peer for a newer version on a connection that exists, and the next peer if it is silent

What callers could see: a version known in another cell, or on a host that died right after it had reported it, did not reach hosts whose own reads of the store hang. Cause: a host asked the first peer by name that had reported a newer version, for ever, also when it was dead; and across cells, where links go one way, it had no connection, so the request was dropped. The list of targets was asked for only if the store had answered none of the three topics for 2.5 s, so that a hung read of that list did not count while others were answered.

--- a/src/heathermoor/contact/peer_directory.cpp
+++ b/src/heathermoor/contact/peer_directory.cpp
@@ -141,6 +141,14 @@
     }
 }
 
+void peer_directory::make_links_due() {
+    for(auto &[host, entry]: m_contacts) {
+        if(entry.kind == relation::link) {
+            entry.next_heartbeat = {};
+        }
+    }
+}
+
 std::vector<due_heartbeat> peer_directory::due(time_point now, const std::function<bool(const host_id &)> &frequent) {
     if(std::exchange(m_changed, false)) {
         assign_relations();
--- a/src/heathermoor/contact/peer_directory.hpp
+++ b/src/heathermoor/contact/peer_directory.hpp
@@ -69,6 +69,9 @@
     /// @brief Makes a heartbeat to every host of the own cell due now.
     void make_cell_due();
 
+    /// @brief Makes a heartbeat to each link in other cells due now.
+    void make_links_due();
+
     /// @brief Returns the hosts to which a heartbeat is due, and schedules the next one. Opens and closes connections.
     /// @param now Reading of the monotonic clock.
     /// @param frequent Returns true for hosts of the own cell that get heartbeats at the shortest interval.
--- a/src/heathermoor/member/member.cpp
+++ b/src/heathermoor/member/member.cpp
@@ -91,6 +91,7 @@
     }
     const auto by = peer.empty() ? name_of(confirmation::source::store) : std::string_view{peer.str()};
     log_event(log_level::info, "config", "config_in_force", {{"version", m_routes.current().version}, {"before", before}, {"by", by}});
+    m_contacts.make_links_due();
     m_ports.config.config_changed(m_routes.current());
     return true;
 }
--- a/src/heathermoor/member/member.hpp
+++ b/src/heathermoor/member/member.hpp
@@ -255,7 +255,10 @@
     void handle_answer(const wire::envelope &message);
     void handle_pull(const wire::envelope &message);
     void decide_leader(time_point now);
+    [[nodiscard]] bool worth_asking(const peer_record &peer, time_point now) const;
+    [[nodiscard]] bool target_list_stale(time_point now) const;
     void pull_from_peers(time_point now);
+    void ask(const host_id &id, const peer_record &peer, time_point now);
     void update_targets();
     void probe_remote_targets(time_point now);
     void send_statistics(time_point now);
@@ -297,6 +300,9 @@
     std::uint64_t m_targets_revision{};
     log_offset m_targets_next{};
     time_point m_next_pull{};
+    /// Peer that was asked last, and how often in a row.
+    host_id m_asked_peer;
+    std::uint32_t m_times_asked{};
     time_point m_store_answered{};
     time_point m_next_statistics_send{};
     time_point m_next_statistics_save{};
--- a/src/heathermoor/member/member_messages.cpp
+++ b/src/heathermoor/member/member_messages.cpp
@@ -12,8 +12,11 @@
 /// Minimum time between requests for a peer's configuration or catalog.
 constexpr milliseconds pull_interval{300};
 
-/// Time without an answer from the platform's store after which peers are asked for the list of targets.
-constexpr milliseconds store_timeout{2'500};
+/// Time since its last heartbeat for which a peer is asked; heartbeats between cells come once a second.
+constexpr milliseconds peer_validity{2'500};
+
+/// Requests to a peer in a row before another one is asked.
+constexpr std::uint32_t requests_per_peer = 2;
 
 /// Time for which a connection to a host of another cell is kept to answer its request.
 constexpr seconds introduction_time{3};
@@ -399,32 +402,56 @@
     }
 }
 
+bool member::worth_asking(const peer_record &peer, time_point now) const {
+    if(now - peer.heard_at > internal::peer_validity) {
+        return false;
+    }
+    const auto own_version = m_routes.configured() ? raw(m_routes.current().version) : 0;
+    return peer.config_version > own_version || (target_list_stale(now) && peer.catalog_next > m_catalog.next());
+}
+
+bool member::target_list_stale(time_point now) const {
+    const auto &as_of = m_confirmations.state(confirmation::subject::target_list, confirmation::source::store).as_of;
+    return m_catalog.revision() == 0 || !as_of || now - *as_of > confirmation::limit_of(confirmation::subject::target_list);
+}
+
 void member::pull_from_peers(time_point now) {
-    if(now < m_next_pull) {
+    if(now < m_next_pull || m_peers.empty()) {
         return;
     }
-    const auto own_version = m_routes.configured() ? raw(m_routes.current().version) : 0;
-    const bool store_silent = now - m_store_answered > internal::store_timeout || m_catalog.revision() == 0;
-    for(const auto &[id, peer]: m_peers) {
-        const bool newer_config = peer.config_version > own_version;
-        const bool newer_catalog = store_silent && peer.catalog_next > m_catalog.next();
-        if(newer_config || newer_catalog) {
-            m_next_pull = now + internal::pull_interval;
-            wire::envelope message;
-            message.mutable_pool_pulled()->set_config(newer_config);
-            message.mutable_pool_pulled()->set_catalog(newer_catalog);
-            log_event(newer_config ? log_level::info : log_level::debug, "member", "peer_asked",
-                      {{"peer", id},
-                       {"config", newer_config},
-                       {"config_version", own_version},
-                       {"peer_config_version", peer.config_version},
-                       {"catalog", newer_catalog}});
-            send(id, std::move(message));
+    // The first request to a host without a connection only opens one, so each peer is asked twice before the next.
+    auto next = m_times_asked < internal::requests_per_peer ? m_peers.lower_bound(m_asked_peer) : m_peers.upper_bound(m_asked_peer);
+    for(std::size_t seen = 0; seen <= m_peers.size(); ++seen, ++next) {
+        if(next == m_peers.end()) {
+            next = m_peers.begin();
+        }
+        if(worth_asking(next->second, now)) {
+            ask(next->first, next->second, now);
             return;
         }
     }
 }
 
+void member::ask(const host_id &id, const peer_record &peer, time_point now) {
+    m_next_pull = now + internal::pull_interval;
+    m_times_asked = id == m_asked_peer && m_times_asked < internal::requests_per_peer ? m_times_asked + 1 : 1;
+    m_asked_peer = id;
+    const auto own_version = m_routes.configured() ? raw(m_routes.current().version) : 0;
+    const bool newer_config = peer.config_version > own_version;
+    const bool newer_catalog = target_list_stale(now) && peer.catalog_next > m_catalog.next();
+    wire::envelope message;
+    message.mutable_pool_pulled()->set_config(newer_config);
+    message.mutable_pool_pulled()->set_catalog(newer_catalog);
+    log_event(newer_config ? log_level::info : log_level::debug, "member", "peer_asked",
+              {{"peer", id},
+               {"config", newer_config},
+               {"config_version", own_version},
+               {"peer_config_version", peer.config_version},
+               {"catalog", newer_catalog}});
+    m_contacts.connect_until(id, now + internal::introduction_time);
+    send(id, std::move(message));
+}
+
 void member::leave() {
     wire::envelope message;
     message.mutable_pool_beat()->set_leaving(true);
--- a/tests/member/passing_on.cpp
+++ b/tests/member/passing_on.cpp
@@ -98,6 +98,31 @@
         }
     };
 
+    // Guards against a request that always went to the first peer by name, even if it had died with the new version.
+    GIVEN("a peer that died right after it had reported the version, and another one that has it") {
+        host.received(heartbeat("a", "d0", 4, ports.time));
+        for(int round = 0; round < 20; ++round) {
+            host.received(heartbeat("b", "d0", 4, ports.time));
+            run(milliseconds{100});
+        }
+        CHECK(std::count(ports.asked.begin(), ports.asked.end(), host_id{"a"}) > 0);
+        CHECK(std::count(ports.asked.begin(), ports.asked.end(), host_id{"b"}) > 0);
+        AND_THEN("a peer that has been silent for long is not asked any more") {
+            run(seconds{3});
+            ports.asked.clear();
+            run(seconds{1});
+            CHECK(ports.asked.empty());
+        }
+    }
+    // Guards against a request that was dropped for want of a connection: links between cells go one way.
+    GIVEN("peers of another cell, which this host is not connected to") {
+        for(int number = 0; number < 8; ++number) {
+            host.received(heartbeat("h" + std::to_string(number), "d1", 4, ports.time));
+        }
+        run(seconds{2});
+        CHECK_FALSE(ports.asked.empty());
+        CHECK(ports.asked_unconnected == 0);
+    }
     // Guards against limits of requests that stayed as they were if a version came from a peer first.
     GIVEN("a version from a peer, with other limits on requests") {
         ports.in_force.clear();
