Say which version of the configuration was rejected, and why; reject malformed limits too

Found by reading: a version with one malformed entry was refused as a whole, rightly (taking it in part would put in force what nobody published), but the log named only an offset, no metric showed it, and the version before stayed in force unnoticed. Malformed limits on requests were ignored in silence and the rest of the version taken. Change: the decoder names version and field; config_unreadable has both and the version in force; metrics config_rejected and config_rejections_total; malformed limits reject the version as well.

Tests: "A malformed configuration is rejected as a whole" (limits: taken before), "A version that cannot be decoded leaves the earlier one in force".

--- a/src/heathermoor/adapter/service_metrics.cpp
+++ b/src/heathermoor/adapter/service_metrics.cpp
@@ -49,6 +49,10 @@
     prometheus::Gauge &scheduled_jobs = gauge("heathermoor_scheduled_jobs", "Jobs in the hands of the host's scheduler.");
     prometheus::Gauge &targets_known = gauge("heathermoor_targets_known", "Targets on the list.");
     prometheus::Gauge &config_version = gauge("heathermoor_config_version", "Version of the configuration in force.");
+    prometheus::Gauge &config_rejected =
+        gauge("heathermoor_config_rejected", "1 while the latest version is rejected as malformed and an earlier one is in force.");
+    prometheus::Counter &config_rejections =
+        counter("heathermoor_config_rejections_total", "Versions of the configuration rejected as malformed.");
     prometheus::Gauge &store_silence = gauge("heathermoor_store_silence_seconds", "Time since the platform's store last answered.");
     prometheus::Family<prometheus::Gauge> &confirmation_age =
         prometheus::BuildGauge()
@@ -101,6 +105,8 @@
     all.scheduled_jobs.Set(static_cast<double>(state.scheduled_jobs));
     all.targets_known.Set(static_cast<double>(state.targets_known));
     all.config_version.Set(static_cast<double>(state.config_version));
+    all.config_rejected.Set(state.config_rejected ? 1 : 0);
+    internal::raise_to(all.config_rejections, static_cast<double>(state.config_rejections));
     all.store_silence.Set(internal::to_seconds(state.store_silence));
     for(const auto &one: state.confirmations) {
         const prometheus::Labels labels{{"subject", std::string{one.subject}}, {"source", std::string{one.source}}};
--- a/src/heathermoor/adapter/service_metrics.hpp
+++ b/src/heathermoor/adapter/service_metrics.hpp
@@ -37,6 +37,9 @@
     std::uint64_t scheduled_jobs{};
     std::uint64_t targets_known{};
     std::uint64_t config_version{};
+    /// The latest version was rejected as malformed; an earlier one is in force.
+    bool config_rejected{};
+    std::uint64_t config_rejections{};
     /// Time since the platform's store last answered.
     duration store_silence{};
     std::vector<confirmation_snapshot> confirmations;
--- a/src/heathermoor/subscription/subscriptions.cpp
+++ b/src/heathermoor/subscription/subscriptions.cpp
@@ -100,15 +100,27 @@
         if(record.key != internal::config_key || !record.value) {
             continue;
         }
-        auto config = m_decoder.decode_config(*record.value);
-        if(!config) {
-            log_event(log_level::error, "config", "config_unreadable", {{"offset", record.offset}});
+        auto decoded = m_decoder.decode_config(*record.value);
+        if(!decoded.config) {
+            reject(decoded, record.offset);
             continue;
         }
-        (void)m_member.apply_config(std::move(*config));
+        m_rejected.reset();
+        (void)m_member.apply_config(std::move(*decoded.config));
     }
 }
 
+void config_subscription::reject(const decoded_config &decoded, log_offset offset) {
+    m_rejected = decoded.version;
+    ++m_rejections;
+    const auto &routes = m_member.routes();
+    log_event(log_level::error, "config", "config_unreadable",
+              {{"offset", offset},
+               {"version", decoded.version},
+               {"problem", decoded.problem},
+               {"version_in_force", routes.configured() ? routes.current().version : config_version{}}});
+}
+
 void config_subscription::topic_confirmed(time_point as_of) {
     m_member.store_confirmed(confirmation::subject::configuration, as_of);
 }
--- a/src/heathermoor/subscription/subscriptions.hpp
+++ b/src/heathermoor/subscription/subscriptions.hpp
@@ -29,6 +29,14 @@
     /// @param now Reading of the monotonic clock.
     void answered(feed::topic_page page, time_point now) { m_follower.answered(std::move(page), now); }
 
+    /// @brief Latest version that was rejected as malformed, while an earlier one is in force.
+    /// @return Version; empty once a later one was applied.
+    [[nodiscard]] std::optional<config_version> rejected() const noexcept { return m_rejected; }
+
+    /// @brief Number of versions that were rejected as malformed.
+    /// @return Count since the start.
+    [[nodiscard]] std::uint64_t rejections() const noexcept { return m_rejections; }
+
     void topic_changed(const std::vector<feed::keyed_record> &records, log_offset next, bool complete) override;
     void topic_confirmed(time_point as_of) override;
     void topic_unanswered(feed::read_problem problem) override;
@@ -36,10 +44,13 @@
   private:
     [[nodiscard]] milliseconds wait(time_point now) const;
     [[nodiscard]] bool read_is_suspect(time_point now) const;
+    void reject(const decoded_config &decoded, log_offset offset);
 
     member::member &m_member;
     const record_decoder &m_decoder;
     feed::topic_follower m_follower;
+    std::optional<config_version> m_rejected;
+    std::uint64_t m_rejections{};
 };
 
 /// @brief Follows the list of targets on the store and passes its changes to the member.
--- a/tests/platform/codec.cpp
+++ b/tests/platform/codec.cpp
@@ -98,14 +98,25 @@
 }
 
 SCENARIO("A malformed configuration is rejected as a whole", "[platform][codec]") {
-    const auto config = decode_config(
+    const auto decoded = decode_config(
         R"({"version":7,"routes":[{"name":"r","host":"h","path_prefix":"/p/","timeout_ms":1500,"target_latency_ms":60,"priority":2,
             "service":"s","max_attempts":2,"stretch":1.6}],"limits":{"max_body_bytes":1000,"idle_timeout_ms":5}})");
+    const auto &config = decoded.config;
     REQUIRE(config);
+    CHECK(decoded.version == config_version{7});
+    CHECK(decoded.problem.empty());
     CHECK(config->version == config_version{7});
     CHECK(config->routes.front().queue.priority == 2);
     CHECK(config->limits.body_bytes == 1'000);
     CHECK(config->limits.idle_timeout == milliseconds{5});
-    const auto *malformed = GENERATE("", "{}", R"({"version":1})", R"({"version":"x","routes":[]})", R"({"version":1,"routes":[{}]})");
-    CHECK_FALSE(decode_config(malformed));
+    const auto *malformed =
+        GENERATE("", "{}", R"({"version":1})", R"({"version":"x","routes":[]})", R"({"version":1,"routes":[{}]})",
+                 R"({"version":1,"routes":[],"limits":7})", R"({"version":1,"routes":[],"limits":{"idle_timeout_ms":"soon"}})");
+    CHECK_FALSE(decode_config(malformed).config);
+    THEN("the version and the malformed field are named") {
+        const auto rejected = decode_config(R"({"version":9,"routes":[{"name":"r","service":"s"},{"name":"q"}]})");
+        CHECK_FALSE(rejected.config);
+        CHECK(rejected.version == config_version{9});
+        CHECK(rejected.problem == "routes.1");
+    }
 }
--- a/tests/subscription/config_in_force.cpp
+++ b/tests/subscription/config_in_force.cpp
@@ -152,3 +152,33 @@
     world.run(seconds{length_s});
     CHECK(static_cast<double>(world.config_reads() - before) <= reads_per_cell_and_s * length_s);
 }
+
+// Guards against a rejected version that shows nowhere: the version before it stays in force, and the next one is taken.
+SCENARIO("A version that cannot be decoded leaves the earlier one in force", "[subscription][fault][config-in-force]") {
+    set_log_level(log_level::error);
+    pool_world world{{}};
+    world.run(seconds{4});
+    world.publish_config();
+    world.run(seconds{1});
+    const auto before = world.latest_version();
+    world.publish_unreadable_config();
+    world.run(seconds{2});
+    for(std::size_t host = 0; host < world.hosts(); ++host) {
+        CHECK(world.version(host) == before);
+        CHECK(world.rejections(host) == 1);
+    }
+    THEN("a restarted host has the earlier version from its peers") {
+        world.kill(3);
+        world.run(seconds{1});
+        world.start(3);
+        world.run(seconds{2});
+        CHECK(world.version(3) == before);
+    }
+    THEN("the next version is taken") {
+        world.publish_config();
+        world.run(seconds{2});
+        for(std::size_t host = 0; host < world.hosts(); ++host) {
+            CHECK(world.version(host) == world.latest_version());
+        }
+    }
+}
--- a/tests/support/pool_world.cpp
+++ b/tests/support/pool_world.cpp
@@ -41,13 +41,13 @@
 constexpr duration disruption_limit = milliseconds{3'000};
 
 struct version_decoder final : subscription::record_decoder {
-    [[nodiscard]] std::optional<route::route_config> decode_config(const std::string &value) const override {
+    [[nodiscard]] subscription::decoded_config decode_config(const std::string &value) const override {
         if(value.empty() || value.find_first_not_of("0123456789") != std::string::npos) {
-            return std::nullopt;
+            return {std::nullopt, {}, "version"};
         }
         route::route_config config;
         config.version = config_version{std::stoull(value)};
-        return config;
+        return {config, config.version, {}};
     }
     [[nodiscard]] std::optional<catalog::target_entry> decode_target(const std::string &, const std::string &) const override {
         return std::nullopt;
@@ -438,6 +438,10 @@
     return state.running && state.host->routes().configured() ? raw(state.host->routes().current().version) : 0;
 }
 
+std::uint64_t pool_world::rejections(std::size_t host) const {
+    return m_hosts.at(host)->config->rejections();
+}
+
 bool pool_world::draw_late_order() {
     return std::uniform_real_distribution<double>{}(m_random) < m_faults.late_orders;
 }
--- a/tests/support/pool_world.hpp
+++ b/tests/support/pool_world.hpp
@@ -82,6 +82,8 @@
     [[nodiscard]] std::uint64_t promised_version() const;
     /// @brief Version in force on a host; zero for none.
     [[nodiscard]] std::uint64_t version(std::size_t host) const;
+    /// @brief Versions that a running host has rejected as malformed.
+    [[nodiscard]] std::uint64_t rejections(std::size_t host) const;
     /// @brief Latest version on the store.
     [[nodiscard]] std::uint64_t latest_version() const { return m_versions.back().version; }
     /// @brief Reads of the configuration by all hosts since the start of the simulation.
