--- a/src/heathermoor/trace/explanation.cpp
+++ b/src/heathermoor/trace/explanation.cpp
@@ -3,6 +3,8 @@
 #include <algorithm>
 #include <array>
 #include <fmt/format.h>
+#include <functional>
+#include <map>
 #include <set>
 
 namespace heathermoor::trace {
@@ -16,7 +18,8 @@
                                  "source_regained",  "peer_asked"};
 
 /// Events that end a job or request, by priority: the event closest to the cause comes first.
-constexpr std::array deciding_events{"request_rejected", "job_answered", "job_ended", "request_abandoned", "request_answered"};
+constexpr std::array deciding_events{"request_rejected",  "job_answered",     "job_ended",
+                                     "request_abandoned", "request_answered", "request_served"};
 
 struct reason_text {
     std::string_view reason;
@@ -71,6 +74,53 @@
     }
 }
 
+/// Age from which a configuration counts as unconfirmed: the time within which a change must be in force.
+constexpr double unconfirmed_ms = 2'000.0;
+
+/// Line that says by which configuration the request was handled; null if there is none.
+[[nodiscard]] const record *handling_line(const explanation &result) {
+    for(const auto &line: result.lines) {
+        if(!line.value("config_age_ms").empty()) {
+            return &line;
+        }
+    }
+    return nullptr;
+}
+
+/// What the age of the configuration says about the request; empty if it was confirmed in time.
+[[nodiscard]] std::string describe_config(const explanation &result) {
+    const auto *line = handling_line(result);
+    if(line == nullptr || (line->number("config_age_ms") >= 0 && line->number("config_age_ms") < unconfirmed_ms)) {
+        return {};
+    }
+    return fmt::format("; version {} of the configuration, by which {} handled it, had not been confirmed for {} ms",
+                       line->value("config_version"), line->host, line->value("config_age_ms"));
+}
+
+/// Whether a line says where a host's configuration came from, or that a source of it was lost or regained.
+[[nodiscard]] bool is_config_event(const record &line) {
+    const bool source = line.event == "source_lost" || line.event == "source_regained";
+    return line.event == "config_in_force" || (source && line.value("subject") == "configuration");
+}
+
+/// Adds the latest of these lines before the request, of the host that handled it.
+void add_config_history(const std::vector<record> &records, explanation &out) {
+    const auto *handled = handling_line(out);
+    if(handled == nullptr) {
+        return;
+    }
+    std::map<std::string, record, std::less<>> latest;
+    for(const auto &line: records) {
+        if(line.host == handled->host && line.time < out.lines.front().time && is_config_event(line)) {
+            auto &entry = latest[std::string{line.event}.append(line.value("source"))];
+            entry = entry.time <= line.time ? line : entry;
+        }
+    }
+    for(auto &item: latest) {
+        out.lines.push_back(std::move(item.second));
+    }
+}
+
 [[nodiscard]] std::string describe(const explanation &result) {
     if(result.lines.empty()) {
         return "no line names it: the request reached no host, or its host's output is missing";
@@ -88,6 +138,9 @@
                                   line.value("age_ms"), line.value("objective_ms"), line.value("last_start_ms"))
                     : std::string{"it was completed in time"};
     }
+    if(line.event == "request_served") {
+        return fmt::format("it was answered at once with status {}", line.value("status"));
+    }
     const auto reason = line.value("reason");
     const auto found = std::find_if(reasons.begin(), reasons.end(), [&](const reason_text &entry) { return entry.reason == reason; });
     return found == reasons.end() ? std::string{reason} : std::string{found->text};
@@ -112,10 +165,12 @@
             result.lines.push_back(line);
         }
     }
-    std::stable_sort(result.lines.begin(), result.lines.end(),
-                     [](const record &left, const record &right) { return left.time < right.time; });
+    const auto earlier = [](const record &left, const record &right) { return left.time < right.time; };
+    std::stable_sort(result.lines.begin(), result.lines.end(), earlier);
+    internal::add_config_history(records, result);
+    std::stable_sort(result.lines.begin(), result.lines.end(), earlier);
     internal::find_deciding_line(result);
-    result.cause = internal::describe(result);
+    result.cause = internal::describe(result) + internal::describe_config(result);
     return result;
 }
 
--- a/tests/trace/explanation.cpp
+++ b/tests/trace/explanation.cpp
@@ -29,6 +29,14 @@
 {"time":"T30.900","level":"info","host":"b","part":"pool","event":"job_answered","job":"00000000000000cc","queue":"q","outcome":"completed","reason":"ok","age_ms":600.0,"objective_ms":200.0,"last_start_ms":450.0,"last_run":2}
 )";
 
+constexpr auto stale_config_log = R"(
+{"time":"T10.020","level":"info","host":"a","part":"config","event":"config_in_force","version":10,"before":6,"by":"store"}
+{"time":"T11.800","level":"warning","host":"a","part":"confirmation","event":"source_lost","subject":"target_list","source":"store","peer":"","reason":"overdue","confirmed_by":"store","age_ms":1400.0}
+{"time":"T12.090","level":"warning","host":"a","part":"confirmation","event":"source_lost","subject":"configuration","source":"peer","peer":"b:1","reason":"expired","confirmed_by":"store","age_ms":8064.8}
+{"time":"T12.090","level":"warning","host":"b","part":"confirmation","event":"source_lost","subject":"configuration","source":"peer","peer":"a:1","reason":"expired","confirmed_by":"store","age_ms":8064.8}
+{"time":"T18.660","level":"info","host":"a","part":"callers","event":"request_served","request":"r-3","method":"GET","path":"/p/","queue":"q","status":200,"config_version":10,"config_age_ms":14635.0}
+)";
+
 [[nodiscard]] std::vector<trace::record> read(const char *log) {
     std::vector<trace::record> records;
     std::istringstream in{log};
@@ -51,6 +59,18 @@
             CHECK(result.lines.front().event == "job_answered");
         }
     }
+    GIVEN("a request handled by a configuration that had not been confirmed for long") {
+        const auto result = trace::explain(read(stale_config_log), "r-3");
+        THEN("the cause says since when, and the lines before it which source was lost") {
+            REQUIRE(result.lines.size() == 3);
+            CHECK(result.lines[0].event == "config_in_force");
+            CHECK(result.lines[1].event == "source_lost");
+            CHECK(result.lines[1].value("subject") == "configuration");
+            CHECK(result.lines[1].host == "a");
+            CHECK(result.cause.find("status 200") != std::string::npos);
+            CHECK(result.cause.find("had not been confirmed for 14635") != std::string::npos);
+        }
+    }
     GIVEN("a request lost around a takeover") {
         const auto result = trace::explain(read(takeover_log), "r-2");
         THEN("the change of leader is listed between its two hand-overs") {
