Log a lost source as a warning only if no other one confirms the copy

A host that reads the target list a little after the leader has it confirmed by the store and only at times by peers; their expiry is no reason to wake anyone.

--- a/src/heathermoor/confirmation/confirmation_monitor.cpp
+++ b/src/heathermoor/confirmation/confirmation_monitor.cpp
@@ -1,6 +1,7 @@
 #include "heathermoor/confirmation/confirmation_monitor.hpp"
 
 #include "heathermoor/core/event.hpp"
+#include <algorithm>
 
 namespace heathermoor::confirmation {
 
@@ -63,7 +64,8 @@
     }
     state.lost_at = now;
     ++state.losses;
-    log_event(log_level::warning, "confirmation", "source_lost",
+    const bool confirmed = age(what, now) <= limit_of(what);
+    log_event(confirmed ? log_level::info : log_level::warning, "confirmation", "source_lost",
               {{"subject", name_of(what)},
                {"source", name_of(from)},
                {"peer", state.peer},
--- a/tests/feed/topic_follower.cpp
+++ b/tests/feed/topic_follower.cpp
@@ -163,7 +163,7 @@
         CHECK(topic.reads.size() == 2);
         CHECK(topic.problems == std::vector<read_problem>{read_problem::suspected});
     }
-    THEN("a read that reached the end confirms the topic as of the time at which the store had surely not answered yet") {
+    THEN("a read that reached the end confirms the topic as of its start, or as of the end of its wait if nothing came") {
         follower.tick(now);
         follower.answered(page(topic.latest, 9, {7, 8}), now + seconds{3});
         CHECK(topic.confirmed == now);
