Test that a hung read of the target list alone is enough to ask peers for it

With the earlier rule (no answer on any topic for 2.5 s) "a store that answers for the configuration but not for the list of targets" fails: no peer is asked in 3 s.

--- a/tests/member/passing_on.cpp
+++ b/tests/member/passing_on.cpp
@@ -24,6 +24,7 @@
     void send(const host_id &to, wire::envelope message) override {
         if(message.body_case() == wire::envelope::kPoolPulled) {
             asked.push_back(to);
+            catalog_asked = catalog_asked || message.pool_pulled().catalog();
             asked_unconnected += std::find(connected.begin(), connected.end(), to) == connected.end() ? 1 : 0;
         }
     }
@@ -42,6 +43,7 @@
     time_point time{seconds{100}};
     std::vector<host_id> asked;
     std::size_t asked_unconnected{};
+    bool catalog_asked{};
     std::vector<host_id> connected;
     std::vector<route::request_limits> in_force;
     zero_work_clock work_clock;
@@ -123,6 +125,17 @@
         CHECK_FALSE(ports.asked.empty());
         CHECK(ports.asked_unconnected == 0);
     }
+    // Guards against one time of silence for all topics: answers for one of them hid that another one hung.
+    GIVEN("a store that answers for the configuration but not for the list of targets") {
+        for(int round = 0; round < 30; ++round) {
+            auto message = heartbeat("b", "d0", 3, ports.time);
+            message.mutable_pool_beat()->set_catalog_next(200);
+            host.received(message);
+            host.store_confirmed(confirmation::subject::configuration, ports.time);
+            run(milliseconds{100});
+        }
+        CHECK(ports.catalog_asked);
+    }
     // Guards against limits of requests that stayed as they were if a version came from a peer first.
     GIVEN("a version from a peer, with other limits on requests") {
         ports.in_force.clear();
