Log and export outcomes by size, and why each job was placed, moved, ended or refused

The fault of the incident could not be seen: job_answered had neither estimate nor prediction, run_moved had no inputs, a refusal and an end as unreachable had none either, and breakdown counted by queue only.

job_answered now has entry host, size class, work, the caller's estimate, the prediction on arrival, what was known at the end, and what the runs took. New lines: job_placed, job_hopeless (inputs of a refusal), run_too_slow (inputs of an end). breakdown ranks the jobs of each queue by work and names a group, by size or by entry host, that is served less than half as often as its queue; explain names size, predictions and the deciding run. Metrics: jobs_total{queue,size,outcome}, jobs_late_total, runs_moved_total, task_seconds_total. No decision has changed.

--- a/src/heathermoor/adapter/service_metrics.cpp
+++ b/src/heathermoor/adapter/service_metrics.cpp
@@ -63,6 +63,22 @@
         prometheus::BuildGauge().Name("heathermoor_source_lost").Help("1 while a source of a copy is lost.").Register(registry);
     prometheus::Family<prometheus::Counter> &source_losses =
         prometheus::BuildCounter().Name("heathermoor_source_losses_total").Help("Losses of a source of a copy.").Register(registry);
+    prometheus::Family<prometheus::Counter> &jobs =
+        prometheus::BuildCounter()
+            .Name("heathermoor_jobs_total")
+            .Help("Jobs that the host's scheduler has answered, by queue, size among the queue's recent jobs, and outcome.")
+            .Register(registry);
+    prometheus::Family<prometheus::Counter> &jobs_late = prometheus::BuildCounter()
+                                                             .Name("heathermoor_jobs_late_total")
+                                                             .Help("Completed jobs answered after their objective.")
+                                                             .Register(registry);
+    prometheus::Family<prometheus::Counter> &runs_moved =
+        prometheus::BuildCounter().Name("heathermoor_runs_moved_total").Help("Runs moved because of their pace.").Register(registry);
+    prometheus::Family<prometheus::Counter> &task_seconds =
+        prometheus::BuildCounter()
+            .Name("heathermoor_task_seconds_total")
+            .Help("Run time of the tasks of completed jobs on a target of mean speed, as predicted on arrival and as measured.")
+            .Register(registry);
     prometheus::Counter &task_starts = counter("heathermoor_task_starts_total", "Starts of tasks that were ordered.");
     prometheus::Counter &runs_failed = counter("heathermoor_runs_failed_total", "Runs that ended as failed.");
     prometheus::Counter &runs_lost = counter("heathermoor_runs_lost_total", "Runs whose lease lapsed or whose target restarted.");
@@ -97,6 +113,24 @@
     m_families->waits.Add({{"outcome", "abandoned"}}, internal::latency_bounds).Observe(internal::to_seconds(waited));
 }
 
+void service_metrics::export_group(const queue_id &queue, pool::size_class size, const pool::group_counts &counts) {
+    auto &all = *m_families;
+    const prometheus::Labels group{{"queue", queue.str()}, {"size", std::string{pool::name_of(size)}}};
+    const auto labelled = [&group](const char *label, const char *value) {
+        auto labels = group;
+        labels[label] = value;
+        return labels;
+    };
+    internal::raise_to(all.jobs.Add(labelled("outcome", "completed")), static_cast<double>(counts.ended.completed));
+    internal::raise_to(all.jobs.Add(labelled("outcome", "failed")), static_cast<double>(counts.ended.failed));
+    internal::raise_to(all.jobs.Add(labelled("outcome", "refused")), static_cast<double>(counts.ended.refused));
+    internal::raise_to(all.jobs.Add(labelled("outcome", "unknown")), static_cast<double>(counts.ended.unknown));
+    internal::raise_to(all.jobs_late.Add(group), static_cast<double>(counts.late));
+    internal::raise_to(all.runs_moved.Add(group), static_cast<double>(counts.moves));
+    internal::raise_to(all.task_seconds.Add(labelled("figure", "predicted")), internal::to_seconds(counts.predicted_run_time));
+    internal::raise_to(all.task_seconds.Add(labelled("figure", "measured")), internal::to_seconds(counts.measured_run_time));
+}
+
 std::string service_metrics::text(const service_state &state) {
     auto &all = *m_families;
     all.leading.Set(state.leading ? 1 : 0);
@@ -116,6 +150,11 @@
         all.source_lost.Add(labels).Set(one.lost ? 1 : 0);
         internal::raise_to(all.source_losses.Add(labels), static_cast<double>(one.losses));
     }
+    for(const auto &[queue, sizes]: state.queues) {
+        for(std::size_t size = 0; size < pool::size_classes; ++size) {
+            export_group(queue, static_cast<pool::size_class>(size), sizes.at(size));
+        }
+    }
     internal::raise_to(all.task_starts, static_cast<double>(state.task_starts));
     internal::raise_to(all.runs_failed, static_cast<double>(state.runs_failed));
     internal::raise_to(all.runs_lost, static_cast<double>(state.runs_lost));
--- a/src/heathermoor/adapter/service_metrics.hpp
+++ b/src/heathermoor/adapter/service_metrics.hpp
@@ -4,7 +4,9 @@
 #include "heathermoor/core/time.hpp"
 #include "heathermoor/job/job.hpp"
 #include "heathermoor/metrics/work_meter.hpp"
+#include "heathermoor/pool/job_size.hpp"
 #include <cstdint>
+#include <map>
 #include <memory>
 #include <optional>
 #include <string>
@@ -43,6 +45,8 @@
     /// Time since the platform's store last answered.
     duration store_silence{};
     std::vector<confirmation_snapshot> confirmations;
+    /// Outcomes by queue and size of the jobs that this host's scheduler has answered.
+    std::map<queue_id, pool::queue_counts> queues;
     std::uint64_t task_starts{};
     std::uint64_t runs_failed{};
     std::uint64_t runs_lost{};
@@ -84,6 +88,9 @@
 
   private:
     struct families;
+
+    void export_group(const queue_id &queue, pool::size_class size, const pool::group_counts &counts);
+
     std::unique_ptr<families> m_families;
 };
 
--- a/src/heathermoor/pool/fwd.hpp
+++ b/src/heathermoor/pool/fwd.hpp
@@ -8,5 +8,7 @@
 class holder_listener;
 class target_holder;
 class scheduler;
+class size_ranking;
+struct group_counts;
 
 } // namespace heathermoor::pool
--- a/src/heathermoor/pool/scheduler.cpp
+++ b/src/heathermoor/pool/scheduler.cpp
@@ -130,16 +130,11 @@
             job.slots.push_back(slot);
         }
     }
+    job.predicted_run_time = expected_run(job);
+    job.size = m_sizes.add(job.queue.name, predicted_work(job));
     const auto id = job.job.id;
     auto &stored = m_jobs.insert_or_assign(id, std::move(job)).first->second;
-    log_event(log_level::debug, "pool", "job_opened",
-              {{"job", id},
-               {"queue", stored.queue.name},
-               {"from", stored.hosts.front()},
-               {"tasks", stored.slots.size()},
-               {"age_ms", now - stored.sent_at},
-               {"clear_in_ms", stored.earlier_runs_end_at - now},
-               {"earlier", stored.earlier}});
+    log_opened(stored, now);
     if(stored.earlier_runs_end_at > now) {
         m_holder.request_reports(now);
     }
@@ -268,36 +263,9 @@
     return found == all.end() ? 0 : found->second;
 }
 
-void scheduler::log_answer(const open_job &job, const job::answer &answer, time_point now) const {
-    std::size_t done = 0;
-    std::uint32_t failures = 0;
-    std::uint64_t last_run = 0;
-    duration last_start{};
-    for(const auto &slot: job.slots) {
-        done += slot.state == slot_state::done ? 1 : 0;
-        failures += slot.failures;
-        last_run = std::max(last_run, slot.last_run);
-        last_start = std::max(last_start, slot.placed_at == time_point{} ? duration{} : slot.placed_at - job.sent_at);
-    }
-    log_event(log_level::info, "pool", "job_answered",
-              {{"job", job.job.id},
-               {"queue", job.queue.name},
-               {"priority", job.queue.priority},
-               {"outcome", job::name_of(answer.result)},
-               {"reason", code_name(answer.reason)},
-               {"age_ms", now - job.sent_at},
-               {"objective_ms", objective(job)},
-               {"left_ms", job.deadline - now},
-               {"last_start_ms", last_start},
-               {"tasks", job.slots.size()},
-               {"done", done},
-               {"failures", failures},
-               {"last_run", last_run},
-               {"retry_after_ms", duration{answer.retry_after}}});
-}
-
 void scheduler::finish(open_job &job, const job::answer &answer, time_point now) {
     log_answer(job, answer, now);
+    count_outcome(job, answer, now);
     for(const auto &host: job.hosts) {
         m_answers.answer(host, job.job.id, answer);
     }
--- a/src/heathermoor/pool/scheduler.hpp
+++ b/src/heathermoor/pool/scheduler.hpp
@@ -2,6 +2,7 @@
 
 #include "heathermoor/job/job.hpp"
 #include "heathermoor/placement/target_health.hpp"
+#include "heathermoor/pool/job_size.hpp"
 #include "heathermoor/pool/ports.hpp"
 #include "heathermoor/pool/run_statistics.hpp"
 #include "heathermoor/pool/run_time_estimator.hpp"
@@ -12,6 +13,7 @@
 #include <optional>
 #include <set>
 #include <string>
+#include <string_view>
 #include <unordered_map>
 #include <vector>
 
@@ -43,6 +45,8 @@
     std::uint64_t cancelled{};
     std::uint64_t runs_failed{};
     std::uint64_t runs_lost{};
+    /// Outcomes by size, of each queue that has had a job here.
+    std::map<queue_id, queue_counts> queues;
 };
 
 /// @brief Schedules all jobs on one pool of targets, from a single host.
@@ -192,6 +196,10 @@
         std::uint64_t last_run{};
         std::uint32_t failures{};
         time_point placed_at;
+        /// Speed of the target at the last start.
+        double placed_speed{};
+        /// Run time of the task on a target of mean speed, once it has ended here.
+        duration run_time{};
         /// Time by which an `out_of_reach` run has ended.
         time_point lapse_at;
         /// Minimum speed of the next target after a move from a slow one; zero before a move.
@@ -222,6 +230,13 @@
         bool ever_started{};
         /// Answered or cancelled; erased once none of its runs may be active.
         bool closing{};
+        /// Run time of a task on a target of mean speed, as predicted on arrival.
+        duration predicted_run_time{};
+        size_class size{size_class::rest};
+        /// Runs moved to another target because of their pace.
+        std::uint32_t moves{};
+        /// The last of its tasks has been ordered at least once.
+        bool all_placed{};
         /// Submission that arrived while the job was closing; handled after that.
         std::optional<submission> next;
     };
@@ -281,7 +296,10 @@
     void open(submission work, time_point now);
     void join(open_job &job, const submission &work, time_point now);
     void adopt_orphans(open_job &job, time_point now);
+    void log_opened(const open_job &job, time_point now) const;
+    void log_placed(open_job &job, const speed_range &speeds, time_point now) const;
     void log_answer(const open_job &job, const job::answer &answer, time_point now) const;
+    void count_outcome(const open_job &job, const job::answer &answer, time_point now);
     void finish(open_job &job, const job::answer &answer, time_point now);
     void close(open_job &job, time_point now);
     [[nodiscard]] bool has_confirmed_host(const open_job &job, time_point now) const;
@@ -298,6 +316,8 @@
     [[nodiscard]] bool step_ready(const open_job &job, std::uint32_t step) const;
     [[nodiscard]] duration expected_run(const open_job &job) const;
     [[nodiscard]] duration objective(const open_job &job) const;
+    /// Processor time of all tasks, in core-seconds, by the run time predicted on arrival.
+    [[nodiscard]] static double predicted_work(const open_job &job);
     [[nodiscard]] std::vector<open_job *> waiting_in_order(time_point now);
     [[nodiscard]] std::vector<candidate> find_candidates(time_point now);
     [[nodiscard]] candidate *choose_renewable_target(const open_job &job, const task_slot &slot, const speed_range &speeds,
@@ -317,6 +337,8 @@
     void end_unreachable_jobs(time_point now);
     void check_pace(const held_target &target, const job::task_ref &task, const lease::run_entry &entry, time_point now,
                     std::vector<job_id> &unreachable);
+    void log_pace(std::string_view event, const open_job &job, const job::task_ref &task, const held_target &target,
+                  const lease::run_entry &entry, duration total, time_point now) const;
     [[nodiscard]] double fastest_speed(time_point now);
     [[nodiscard]] time_point latest_start(const open_job &job) const;
 
@@ -336,6 +358,7 @@
     std::map<host_id, other_scheduler> m_others;
     log_offset m_catalog_next{};
     scheduler_counts m_counts;
+    size_ranking m_sizes;
     /// Speed of the fastest usable target as of the last tick; zero if there was none.
     double m_fastest{1.0};
     /// Something has changed since the last placement round.
--- a/src/heathermoor/pool/scheduler_pace.cpp
+++ b/src/heathermoor/pool/scheduler_pace.cpp
@@ -92,19 +92,30 @@
     const bool can_move = faster > speed * internal::worthwhile_gain && now + internal::move_time + from_ms(rerun_ms) < job.deadline;
     if(slot != nullptr && can_move && slot->least_speed == 0) {
         slot->least_speed = faster;
-        log_event(log_level::info, "pool", "run_moved",
-                  {{"job", task.job},
-                   {"index", task.index},
-                   {"target", target.entry.id},
-                   {"percent", entry.percent},
-                   {"speed", speed},
-                   {"to_speed", faster}});
+        ++job.moves;
+        log_pace("run_moved", job, task, target, entry, from_ms(total_ms), now);
         m_holder.stop(target.entry.id, task, now);
     } else if(total_ms > to_ms(job.deadline - entry.ordered_at) * internal::unreachable_margin) {
+        log_pace("run_too_slow", job, task, target, entry, from_ms(total_ms), now);
         unreachable.push_back(task.job);
     }
 }
 
+void scheduler::log_pace(std::string_view event, const open_job &job, const job::task_ref &task, const held_target &target,
+                         const lease::run_entry &entry, duration total, time_point now) const {
+    log_event(log_level::info, "pool", event,
+              {{"job", task.job},
+               {"index", task.index},
+               {"target", target.entry.id},
+               {"percent", entry.percent},
+               {"elapsed_ms", entry.progress_at - entry.ordered_at},
+               {"total_ms", total},
+               {"predicted_ms", expected_run(job)},
+               {"left_ms", job.deadline - now},
+               {"speed", m_speeds.speed(target.entry.id)},
+               {"fastest_speed", m_fastest}});
+}
+
 void scheduler::end_unreachable_jobs(time_point now) {
     std::vector<job_id> unreachable;
     for(const auto &[id, target]: m_holder.targets()) {
--- a/src/heathermoor/pool/scheduler_placing.cpp
+++ b/src/heathermoor/pool/scheduler_placing.cpp
@@ -173,6 +173,7 @@
         slot.state = slot_state::placed;
         slot.target = chosen->target->entry.id;
         slot.placed_at = now;
+        slot.placed_speed = chosen->speed;
         ++slot.last_run;
         slot.pace_observed = false;
         job.ever_started = true;
@@ -187,6 +188,7 @@
                    {"waited_ms", now - job.sent_at}});
         m_holder.start(slot.target, {job.job.id, slot.step, slot.index}, run_number{slot.last_run}, need, job.job.payload, now);
     }
+    log_placed(job, speeds, now);
 }
 
 std::vector<scheduler::open_job *> scheduler::waiting_in_order(time_point now) {
@@ -255,6 +257,14 @@
         const auto work_ms = to_ms(expected_run(*job)) * static_cast<double>(waiting) / places;
         const auto slack_ms = to_ms(latest_start(*job) - now) * internal::waiting_share;
         if(!job->ever_started && ahead_ms > std::max(0.0, slack_ms)) {
+            log_event(log_level::info, "pool", "job_hopeless",
+                      {{"job", job->job.id},
+                       {"ahead_ms", ahead_ms},
+                       {"slack_ms", slack_ms},
+                       {"places", places},
+                       {"targets", m_holder.targets().size()},
+                       {"predicted_ms", expected_run(*job)},
+                       {"fastest_speed", m_fastest}});
             refused.emplace_back(job->job.id, std::max(internal::min_retry_after, milliseconds{static_cast<std::int64_t>(ahead_ms)}));
             continue;
         }
--- a/src/heathermoor/pool/scheduler_runs.cpp
+++ b/src/heathermoor/pool/scheduler_runs.cpp
@@ -78,6 +78,7 @@
         slot->state = slot_state::done;
         m_target_states[target].health.succeeded();
         if(end.ordered_here) {
+            slot->run_time = from_ms(to_ms(end.elapsed) * m_speeds.speed(target));
             m_run_times.observe(job.queue.name, job.job.steps[slot->step].estimate, end.elapsed, m_speeds.speed(target));
             if(!slot->pace_observed) {
                 m_speeds.observe(target, end.elapsed, expected);
--- a/src/heathermoor/trace/explanation.cpp
+++ b/src/heathermoor/trace/explanation.cpp
@@ -121,6 +121,35 @@
     }
 }
 
+/// Latest line of the story with this event; null if there is none.
+[[nodiscard]] const record *latest(const explanation &result, std::string_view event) {
+    const auto found =
+        std::find_if(result.lines.rbegin(), result.lines.rend(), [event](const record &line) { return line.event == event; });
+    return found == result.lines.rend() ? nullptr : &*found;
+}
+
+/// Size of the job, and what was predicted and measured of its run times; empty if its scheduler's line says nothing of it.
+[[nodiscard]] std::string describe_size(const explanation &result) {
+    const auto *line = latest(result, "job_answered");
+    if(line == nullptr || line->value("size").empty()) {
+        return {};
+    }
+    auto text = fmt::format("; size {}, {} tasks, estimated {} ms, predicted {} ms, known at the end {} ms a task", line->value("size"),
+                            line->value("tasks"), line->value("estimate_ms"), line->value("predicted_ms"), line->value("expected_ms"));
+    if(line->number("moves") > 0) {
+        text += fmt::format(", {} runs moved", line->value("moves"));
+    }
+    if(const auto *slow = latest(result, "run_too_slow")) {
+        text += fmt::format("; task {} on {} was at {} % after {} ms, with {} ms left", slow->value("index"), slow->value("target"),
+                            slow->value("percent"), slow->value("elapsed_ms"), slow->value("left_ms"));
+    }
+    if(const auto *hopeless = latest(result, "job_hopeless")) {
+        text += fmt::format("; work ahead of it {} ms on {} places, slack {} ms", hopeless->value("ahead_ms"), hopeless->value("places"),
+                            hopeless->value("slack_ms"));
+    }
+    return text;
+}
+
 [[nodiscard]] std::string describe(const explanation &result) {
     if(result.lines.empty()) {
         return "no line names it: the request reached no host, or its host's output is missing";
@@ -170,7 +199,7 @@
     internal::add_config_history(records, result);
     std::stable_sort(result.lines.begin(), result.lines.end(), earlier);
     internal::find_deciding_line(result);
-    result.cause = internal::describe(result) + internal::describe_config(result);
+    result.cause = internal::describe(result) + internal::describe_size(result) + internal::describe_config(result);
     return result;
 }
 
--- a/tests/trace/explanation.cpp
+++ b/tests/trace/explanation.cpp
@@ -2,6 +2,7 @@
 
 #include "heathermoor/trace/breakdown.hpp"
 #include <catch2/catch.hpp>
+#include <fmt/format.h>
 #include <sstream>
 
 using namespace heathermoor;
@@ -29,6 +30,12 @@
 {"time":"T30.900","level":"info","host":"b","part":"pool","event":"job_answered","job":"00000000000000cc","queue":"q","outcome":"completed","reason":"ok","age_ms":600.0,"objective_ms":200.0,"last_start_ms":450.0,"last_run":2}
 )";
 
+constexpr auto large_log = R"(
+{"time":"T33.0","level":"info","host":"b","part":"pool","event":"run_moved","job":"00000000000000dd","index":4,"target":"t9","percent":8,"elapsed_ms":174.0,"left_ms":1169.0}
+{"time":"T33.0","level":"info","host":"b","part":"pool","event":"run_too_slow","job":"00000000000000dd","index":2,"target":"t7","percent":8,"elapsed_ms":192.0,"left_ms":1169.0}
+{"time":"T33.0","level":"info","host":"b","part":"pool","event":"job_answered","job":"00000000000000dd","queue":"q","size":"largest_tenth","outcome":"unknown","reason":"deadline_unreachable","age_ms":194.0,"tasks":6,"moves":1,"estimate_ms":1895.0,"predicted_ms":1029.0,"expected_ms":1700.0}
+)";
+
 constexpr auto stale_config_log = R"(
 {"time":"T10.020","level":"info","host":"a","part":"config","event":"config_in_force","version":10,"before":6,"by":"store"}
 {"time":"T11.800","level":"warning","host":"a","part":"confirmation","event":"source_lost","subject":"target_list","source":"store","peer":"","reason":"overdue","confirmed_by":"store","age_ms":1400.0}
@@ -85,6 +92,14 @@
         CHECK(result.cause.find("completed late") != std::string::npos);
         CHECK(result.cause.find("450.0") != std::string::npos);
     }
+    GIVEN("a large job that was given up because of one slow run") {
+        const auto result = trace::explain(read(large_log), "00000000000000dd");
+        THEN("the cause names its size, what was known of its run times, and the run that decided it") {
+            CHECK(result.cause.find("size largest_tenth, 6 tasks, estimated 1895.0 ms, predicted 1029.0 ms") != std::string::npos);
+            CHECK(result.cause.find("1 runs moved") != std::string::npos);
+            CHECK(result.cause.find("task 2 on t7 was at 8 % after 192.0 ms, with 1169.0 ms left") != std::string::npos);
+        }
+    }
     GIVEN("an identifier that no line mentions") {
         const auto result = trace::explain(read(late_log), "r-404");
         CHECK(result.lines.empty());
@@ -101,7 +116,8 @@
         }
     }
     REQUIRE(all.queues().size() == 1);
-    const auto &queue = all.queues().at("q");
+    const auto queues = all.queues();
+    const auto &queue = queues.at("q").all;
     CHECK(queue.late == 1);
     CHECK(queue.in_time == 0);
     CHECK(queue.again == 1);
@@ -109,6 +125,47 @@
     CHECK(queue.reasons.at("leader_lost") == 1);
 }
 
+// Guards against a breakdown by queue only, in which the loss of most of the largest jobs could not be seen.
+SCENARIO("The breakdown shows a group that is served far worse than its queue", "[trace]") {
+    constexpr int jobs = 200;
+    constexpr int largest = jobs / 10;
+    trace::breakdown all;
+    const auto answer = [&all](int job, bool completed, double work, const char *from) {
+        const auto line = fmt::format(
+            R"({{"time":"T1","host":"b","part":"pool","event":"job_answered","job":"{}","queue":"q","from":"{}","outcome":"{}",)"
+            R"("reason":"{}","age_ms":100.0,"objective_ms":200.0,"work_core_s":{},"predicted_ms":100.0,"expected_ms":150.0,"moves":1}})",
+            job, from, completed ? "completed" : "unknown", completed ? "ok" : "deadline_unreachable", work);
+        all.add(*trace::read_record(line));
+    };
+    GIVEN("a queue whose largest tenth is hardly served") {
+        for(int job = 0; job < jobs; ++job) {
+            answer(job, job >= largest || job < 5, jobs - job, job % 2 == 0 ? "a" : "c");
+        }
+        const auto queue = all.queues().at("q");
+        REQUIRE(queue.sizes.size() == 3);
+        CHECK(queue.sizes[0].second.jobs == largest);
+        CHECK(queue.sizes[0].second.served() == Approx(0.25));
+        CHECK(queue.sizes[0].second.reasons.at("deadline_unreachable") == 15);
+        CHECK(queue.sizes[1].second.served() == Approx(1.0));
+        CHECK(queue.sizes[1].second.jobs == 2 * largest);
+        CHECK(queue.hosts.size() == 2);
+        CHECK(all.to_string().find("short: of q largest_tenth 0.25 were served, of all 0.93") != std::string::npos);
+    }
+    GIVEN("a queue whose jobs from one host are hardly served") {
+        for(int job = 0; job < jobs; ++job) {
+            answer(job, job % 5 != 0, 1.0, job % 5 == 0 ? "far" : "near");
+        }
+        CHECK(all.to_string().find("short: of q from far 0.00 were served, of all 0.80") != std::string::npos);
+    }
+    GIVEN("a job that one scheduler gave up and the next one completed") {
+        answer(1, false, 1.0, "a");
+        answer(1, true, 1.0, "a");
+        answer(1, false, 1.0, "a");
+        CHECK(all.queues().at("q").all.jobs == 1);
+        CHECK(all.queues().at("q").all.in_time == 1);
+    }
+}
+
 SCENARIO("Lines that are not events are counted and skipped", "[trace]") {
     for(const auto *line: {"", "text", "{", "{\"time\":1", "[1]", R"({"event":"x"})", R"({"time":"t"})", "{}\xff"}) {
         CHECK_FALSE(trace::read_record(line));
