--- a/tests/support/pool_world.cpp
+++ b/tests/support/pool_world.cpp
@@ -141,9 +141,12 @@
             entry.service = service_id{"service"};
             entry.domain = failure_domain_id{fmt::format("d{}", domain)};
             entry.address = entry.id.str();
-            entry.capacity = {16'000, 32'768, 0};
+            entry.capacity = chosen.target_capacity;
+            if(!chosen.kinds.empty() && number % 3 == 2) {
+                entry.capacity += {chosen.target_capacity.cpu_millicores / 2, 0, 0};
+            }
             m_target_index[entry.id] = m_targets.size();
-            m_targets.emplace_back(entry, number % 3 == 0 ? 1.7 : 0.8);
+            m_targets.emplace_back(entry, chosen.target_speeds.at(number % chosen.target_speeds.size()));
         }
     }
     m_unlisted.resize(m_targets.size());
@@ -296,6 +299,10 @@
     --job.attempts_open;
     job.answered_unrefused = true;
     constexpr std::uint32_t max_attempts = 3;
+    if(!job.run_times.empty()) {
+        // Its caller's deadline passes before it would be sent again.
+        return;
+    }
     if(call.attempt < max_attempts) {
         at(resubmission_delay, [this, id = call.job, attempt = call.attempt] { submit(id, attempt + 1); });
     }
@@ -465,7 +472,8 @@
         target.advance(now);
         auto &job = m_jobs.at(order.task.job);
         std::mt19937_64 task_random{std::hash<job::task_ref>{}(order.task)};
-        const auto work = from_ms(50.0 + static_cast<double>(task_random() % 300));
+        const auto any_work = from_ms(50.0 + static_cast<double>(task_random() % 300));
+        const auto work = job.run_times.empty() ? any_work : job.run_times.at(order.task.index);
         const bool fails = std::uniform_real_distribution<double>{}(m_random) < m_faults.failing_runs;
         const auto &need = job.definition.steps.at(order.task.step).need;
         const auto before = target.runs().size();
@@ -610,22 +618,54 @@
     submit(id, 1);
 }
 
+void pool_world::send_job_of(const job_kind &kind) {
+    const job_id id{fmt::format("{:016x}", m_sent++)};
+    auto drawn = draw_job(kind, id, m_random);
+    auto &job = m_jobs[id];
+    job.definition = std::move(drawn.definition);
+    job.run_times = std::move(drawn.run_times);
+    job.sent_at = m_now;
+    job.record.kind = kind.name;
+    job.record.work = drawn.work;
+    job.record.tasks = job.definition.steps.front().tasks;
+    job.record.longest_run = *std::max_element(job.run_times.begin(), job.run_times.end());
+    const auto fastest = *std::max_element(m_options.target_speeds.begin(), m_options.target_speeds.end());
+    job.record.servable = to_ms(job.record.longest_run) / fastest < to_ms(caller_deadline);
+    job.queue.name = queue_id{kind.name};
+    job.queue.priority = kind.priority;
+    submit(id, 1);
+}
+
+std::vector<job_record> pool_world::job_records() const {
+    std::vector<job_record> records;
+    for(const auto &[id, job]: m_jobs) {
+        if(!job.run_times.empty()) {
+            records.push_back(job.record);
+        }
+    }
+    return records;
+}
+
 void pool_world::submit(const job_id &job, std::uint32_t attempt) {
     const auto index = static_cast<std::size_t>(m_random() % m_hosts.size());
     log_event(log_level::debug, "world", "submitted",
               {{"job", job}, {"host", index}, {"attempt", attempt}, {"at_ms", m_now.time_since_epoch()}});
+    auto &known = m_jobs.at(job);
+    known.record.host = index;
+    known.record.domain = domain_of(index);
     auto &state = *m_hosts[index];
     if(!state.running) {
         return;
     }
-    auto &known = m_jobs.at(job);
     ++known.attempts_open;
     const auto request = m_next_request++;
     m_callers[request] = {job, index, state.process, attempt};
-    job::queue_policy queue;
-    queue.name = queue_id{fmt::format("q{}", std::hash<job_id>{}(job) % 3)};
+    job::queue_policy queue = known.queue;
+    if(known.run_times.empty()) {
+        queue.name = queue_id{fmt::format("q{}", std::hash<job_id>{}(job) % 3)};
+        queue.priority = static_cast<std::uint32_t>(std::hash<job_id>{}(job) % 3);
+    }
     queue.service = service_id{"service"};
-    queue.priority = static_cast<std::uint32_t>(std::hash<job_id>{}(job) % 3);
     queue.max_attempts = 3;
     queue.stretch = 1.6;
     queue.target_latency = milliseconds{60};
@@ -648,6 +688,7 @@
     }
     ++m_outcomes[static_cast<std::size_t>(answer.result)];
     auto &job = m_jobs.at(call.job);
+    job.record.served = answer.result == job::outcome::completed && m_now - job.sent_at <= caller_deadline;
     --job.attempts_open;
     job.any_refused = job.any_refused || answer.result == job::outcome::refused;
     job.answered_unrefused = job.answered_unrefused || answer.result != job::outcome::refused;
@@ -672,6 +713,13 @@
         events_until(next);
         m_now = next;
         advance_targets();
+        for(const auto &kind: m_options.kinds) {
+            // Arrivals are independent of each other.
+            const auto mean = kind.jobs_per_s * m_load * to_ms(step) / 1'000.0;
+            for(auto count = std::poisson_distribution<int>{mean}(m_random); m_load > 0 && count > 0; --count) {
+                send_job_of(kind);
+            }
+        }
         due += m_jobs_per_s * to_ms(step) / 1'000.0;
         while(due >= 1) {
             due -= 1;
--- a/tests/support/pool_world.hpp
+++ b/tests/support/pool_world.hpp
@@ -3,6 +3,7 @@
 #include "heathermoor/member/member.hpp"
 #include "heathermoor/subscription/subscriptions.hpp"
 #include "model/target.hpp"
+#include "support/workload.hpp"
 #include <deque>
 #include <functional>
 #include <map>
@@ -40,6 +41,12 @@
         std::uint32_t targets_per_domain{4};
         std::uint64_t seed{1};
         world_faults faults;
+        /// Jobs by kind; without any, all jobs are alike.
+        std::vector<job_kind> kinds;
+        /// Capacity of a target; every third one has half as much again with kinds of jobs.
+        resources target_capacity{16'000, 32'768, 0};
+        /// Speeds of the targets, by turns.
+        std::vector<double> target_speeds{1.7, 0.8, 0.8};
     };
 
     explicit pool_world(options chosen);
@@ -55,6 +62,9 @@
     /// @brief Sets the rate at which jobs are sent while time advances; zero stops them.
     void set_load(double jobs_per_s) { m_jobs_per_s = jobs_per_s; }
 
+    /// @brief Sets the load with jobs of the kinds, relative to their rates; zero stops them.
+    void set_relative_load(double load) { m_load = load; }
+
     void kill(std::size_t host);
     void start(std::size_t host);
     void freeze(std::size_t host, duration length);
@@ -89,6 +99,9 @@
     /// @brief Reads of the configuration by all hosts since the start of the simulation.
     [[nodiscard]] std::uint64_t config_reads() const noexcept { return m_config_reads; }
 
+    /// @brief Every job sent so far whose kind is set, and whether it was served.
+    [[nodiscard]] std::vector<job_record> job_records() const;
+
     /// @brief Violations of the guarantees so far, one line each.
     [[nodiscard]] const std::vector<std::string> &violations() const noexcept { return m_violations; }
     [[nodiscard]] std::size_t leader() const;
@@ -117,6 +130,11 @@
         std::uint32_t attempts_open{};
         bool any_refused{};
         bool started{};
+        /// Run time of each task at speed 1; empty for a job without a kind.
+        std::vector<duration> run_times;
+        job::queue_policy queue;
+        time_point sent_at;
+        job_record record;
     };
     struct open_call {
         job_id job;
@@ -143,6 +161,7 @@
     void on_host(std::size_t host, std::uint64_t process, std::function<void(member::member &)> act);
     void tick(std::size_t host, std::uint64_t process);
     void send_job();
+    void send_job_of(const job_kind &kind);
     void submit(const job_id &job, std::uint32_t attempt);
     void reply(gateway::request_token request, const job::answer &answer);
     void retry_call(const open_call &call);
@@ -184,6 +203,8 @@
     std::set<std::size_t> m_cut_targets;
     world_faults m_faults;
     double m_jobs_per_s{};
+    /// Load with jobs of the kinds, relative to their rates.
+    double m_load{};
     std::map<job_id, known_job> m_jobs;
     std::map<std::uint64_t, open_call> m_callers;
     std::uint64_t m_next_request{1};
