The simulated target reports a stopped run as stopped, not as done

A run that a scheduler stopped ended as done 30 ms later in the project's own model of a target, so that each move of a task completed it for nothing. Real targets report stopped.

--- a/model/target.cpp
+++ b/model/target.cpp
@@ -53,7 +53,8 @@
         if(clock(now) > m_lease_until) {
             ended.emplace_back(task, lease::run_end::lease_expired);
         } else if(now >= entry.ends) {
-            ended.emplace_back(task, entry.fails ? lease::run_end::failed : lease::run_end::done);
+            const auto own_end = entry.fails ? lease::run_end::failed : lease::run_end::done;
+            ended.emplace_back(task, entry.stopped ? lease::run_end::stopped : own_end);
         }
     }
     for(const auto &[task, how]: ended) {
@@ -90,7 +91,7 @@
         return lease::order_outcome::too_late;
     }
     extend(order.until, now);
-    m_runs[order.task] = {order.run, need, now, now + from_ms(to_ms(work) / m_speed), fails};
+    m_runs[order.task] = {order.run, need, now, now + from_ms(to_ms(work) / m_speed), fails, false};
     return lease::order_outcome::done;
 }
 
@@ -101,7 +102,10 @@
     m_fence = order.to.token;
     const auto running = m_runs.find(order.task);
     if(running != m_runs.end() && running->second.number <= order.run) {
-        running->second.ends = std::min(running->second.ends, now + internal::stop_delay);
+        if(now + internal::stop_delay < running->second.ends) {
+            running->second.ends = now + internal::stop_delay;
+            running->second.stopped = true;
+        }
     }
     auto &closed_run = m_highest_closed_run[order.task];
     closed_run = std::max(closed_run, order.run);
--- a/model/target.hpp
+++ b/model/target.hpp
@@ -21,6 +21,7 @@
         time_point started;
         time_point ends;
         bool fails{};
+        bool stopped{};
     };
 
     /// @brief Creates a target without runs.
