Place, move and end jobs by the chance that their last task is in time

Cause: one figure, the median run time of a single task, answered every question about a job.

Change: pool::job_forecast holds a log-normal prediction for the last of a job's tasks, from the queue's spread (learned: between jobs and within a job) and from what its own tasks show, also running ones. Decisions ask it for a chance: a target is taken unless waiting for a fast one is better by 0.05; a run moves for a gain of 0.2 to a target that is 1.3 times as fast; a job ends below a chance of 0.03 on the fastest target. The fastest speed is a high quantile, since the maximum of many noisy estimates is too high. A run found on a target says nothing of its pace.

'A job of several tasks avoids a target ...' passed before as well; why is not traced.

--- a/src/heathermoor/heathermoor.hpp
+++ b/src/heathermoor/heathermoor.hpp
@@ -52,6 +52,7 @@
 #include "heathermoor/placement/dispatcher.hpp"
 #include "heathermoor/placement/load_balancer.hpp"
 #include "heathermoor/placement/scheduler.hpp"
+#include "heathermoor/pool/job_forecast.hpp"
 #include "heathermoor/pool/job_size.hpp"
 #include "heathermoor/pool/loss_meter.hpp"
 #include "heathermoor/pool/ports.hpp"
--- a/src/heathermoor/member/convert.cpp
+++ b/src/heathermoor/member/convert.cpp
@@ -183,6 +183,9 @@
         queue.set_mean_observed(known.mean_observed);
         queue.set_variance_declared(known.variance_declared);
         queue.set_covariance(known.covariance);
+        queue.set_variance_residual(known.variance_residual);
+        queue.set_variance_within_job(known.variance_within_job);
+        queue.set_samples_within_job(known.samples_within_job);
     }
     for(const auto &known: learned.targets) {
         auto &target = *message.add_targets();
@@ -197,10 +200,14 @@
 pool::run_statistics from_wire(const wire::pool_experience &message) {
     pool::run_statistics learned;
     for(const auto &queue: message.queues()) {
-        const pool::queue_statistics known{queue_id{queue.queue()}, queue.samples(),           queue.mean_declared(),
-                                           queue.mean_observed(),   queue.variance_declared(), queue.covariance()};
+        const pool::queue_statistics known{
+            queue_id{queue.queue()},   queue.samples(),    queue.mean_declared(),     queue.mean_observed(),
+            queue.variance_declared(), queue.covariance(), queue.variance_residual(), queue.variance_within_job(),
+            queue.samples_within_job()};
         const bool finite = std::isfinite(known.samples) && std::isfinite(known.mean_declared) && std::isfinite(known.mean_observed) &&
-                            std::isfinite(known.variance_declared) && std::isfinite(known.covariance);
+                            std::isfinite(known.variance_declared) && std::isfinite(known.covariance) &&
+                            std::isfinite(known.variance_residual) && std::isfinite(known.variance_within_job) &&
+                            std::isfinite(known.samples_within_job);
         if(finite && known.samples > 0) {
             learned.queues.push_back(known);
         }
--- a/src/heathermoor/pool/fwd.hpp
+++ b/src/heathermoor/pool/fwd.hpp
@@ -8,6 +8,8 @@
 class holder_listener;
 class target_holder;
 class scheduler;
+class job_forecast;
+class run_time_estimator;
 class size_ranking;
 struct group_counts;
 
--- a/src/heathermoor/pool/policy.hpp
+++ b/src/heathermoor/pool/policy.hpp
@@ -10,4 +10,7 @@
 /// Minimum retry-after time of a refusal.
 inline constexpr milliseconds min_retry_after{500};
 
+/// Chance of ending before the deadline below which a job counts as hopeless.
+inline constexpr double hopeless_chance = 0.03;
+
 } // namespace heathermoor::pool::internal
--- a/src/heathermoor/pool/run_statistics.hpp
+++ b/src/heathermoor/pool/run_statistics.hpp
@@ -15,6 +15,11 @@
     double mean_observed{};
     double variance_declared{};
     double covariance{};
+    /// Variance of the observed times around their predictions.
+    double variance_residual{};
+    /// Variance between the tasks of one job, and the number of tasks that it comes from.
+    double variance_within_job{};
+    double samples_within_job{};
 };
 
 /// @brief Speed of a target since its last boot.
--- a/src/heathermoor/pool/run_time_estimator.cpp
+++ b/src/heathermoor/pool/run_time_estimator.cpp
@@ -22,6 +22,16 @@
 /// Weight of the prior slope, in units of the declarations' variance times the number of samples.
 constexpr double prior_slope_weight = 4.0;
 
+/// Prior of the standard deviations, of the logarithm, of a job's mean around its prediction and between tasks of a job.
+constexpr double prior_job_deviation = 0.4;
+constexpr double prior_task_deviation = 0.2;
+
+/// Weight of these priors, in samples.
+constexpr double prior_deviation_samples = 20.0;
+
+/// Deviations of the logarithm are clamped to this one, that of a factor of 3: jobs of another kind say little about the usual spread.
+constexpr double max_deviation = 1.1;
+
 /// Lower bound, in milliseconds, before taking the logarithm.
 constexpr double min_ms = 0.5;
 
@@ -49,12 +59,45 @@
     return from_ms(std::exp(known.mean_observed + slope * offset));
 }
 
+run_time_prediction run_time_estimator::predict_job(const queue_id &queue, milliseconds declared) const {
+    constexpr auto prior_task = internal::prior_task_deviation * internal::prior_task_deviation;
+    constexpr auto prior_job = internal::prior_job_deviation * internal::prior_job_deviation;
+    run_time_prediction result{internal::log_ms(to_ms(predict(queue, declared))), prior_job, prior_task};
+    const auto found = m_queues.find(queue);
+    if(found == m_queues.end()) {
+        return result;
+    }
+    const auto &known = found->second;
+    const auto mixed = [](double prior, double learned, double samples) {
+        return (prior * internal::prior_deviation_samples + learned * samples) / (internal::prior_deviation_samples + samples);
+    };
+    result.task_variance = mixed(prior_task, known.variance_within_job, known.samples_within_job);
+    const auto total = mixed(prior_job + prior_task, known.variance_residual, known.samples);
+    result.job_variance = std::max(0.0, total - result.task_variance);
+    return result;
+}
+
+void run_time_estimator::observe_within_job(const queue_id &queue, duration observed, double earlier_log_ms, std::size_t earlier) {
+    auto &known = m_queues[queue];
+    known.queue = queue;
+    known.samples_within_job += 1;
+    const auto gain = 1.0 / std::min(known.samples_within_job, internal::window_samples);
+    const auto deviation =
+        std::clamp(internal::log_ms(to_ms(observed)) - earlier_log_ms, -internal::max_deviation, internal::max_deviation);
+    // The mean of the earlier tasks deviates as well.
+    const auto count = static_cast<double>(earlier);
+    known.variance_within_job += gain * (deviation * deviation * count / (count + 1) - known.variance_within_job);
+}
+
 void run_time_estimator::observe(const queue_id &queue, milliseconds declared, duration observed, double speed) {
+    const auto predicted = internal::log_ms(to_ms(predict(queue, declared)));
     auto &known = m_queues[queue];
     known.queue = queue;
     known.samples += 1;
     const auto gain = 1.0 / std::min(known.samples, internal::window_samples);
     const auto y = internal::log_ms(to_ms(observed) * speed);
+    const auto residual = std::clamp(y - predicted, -internal::max_deviation, internal::max_deviation);
+    known.variance_residual += gain * (residual * residual - known.variance_residual);
     const auto x = declared > milliseconds{0} ? internal::log_ms(static_cast<double>(declared.count())) : known.mean_declared;
     const auto x_before = x - known.mean_declared;
     known.mean_declared += gain * x_before;
--- a/src/heathermoor/pool/run_time_estimator.hpp
+++ b/src/heathermoor/pool/run_time_estimator.hpp
@@ -2,6 +2,7 @@
 
 #include "heathermoor/core/id.hpp"
 #include "heathermoor/core/time.hpp"
+#include "heathermoor/pool/job_forecast.hpp"
 #include "heathermoor/pool/run_statistics.hpp"
 #include <unordered_map>
 
@@ -20,6 +21,12 @@
     /// @return Expected run time; the declared time, or a default, while the queue has too few samples.
     [[nodiscard]] duration predict(const queue_id &queue, milliseconds declared) const;
 
+    /// @brief Predicts the run times of a job's tasks on targets of mean speed, with their spread.
+    /// @param queue Queue of the job.
+    /// @param declared Run time of a task that the caller declared; zero for none.
+    /// @return Prediction around `predict`; generic spreads while the queue has too few samples.
+    [[nodiscard]] run_time_prediction predict_job(const queue_id &queue, milliseconds declared) const;
+
     /// @brief Adds a finished task to the statistics.
     /// @param queue Queue of the task.
     /// @param declared Run time that the caller declared; zero for none.
@@ -27,6 +34,13 @@
     /// @param speed Speed of the target that ran it, relative to the mean.
     void observe(const queue_id &queue, milliseconds declared, duration observed, double speed);
 
+    /// @brief Adds how far a finished task deviates from the earlier ones of its job.
+    /// @param queue Queue of the task.
+    /// @param observed Run time of the task on a target of mean speed.
+    /// @param earlier_log_ms Mean logarithm, in milliseconds, of the earlier tasks' run times on a target of mean speed.
+    /// @param earlier Number of earlier tasks, at least one.
+    void observe_within_job(const queue_id &queue, duration observed, double earlier_log_ms, std::size_t earlier);
+
     /// @brief Exports the statistics of all queues.
     /// @return One entry for each queue with a finished task, in no order.
     [[nodiscard]] std::vector<queue_statistics> learned() const;
--- a/src/heathermoor/pool/scheduler.cpp
+++ b/src/heathermoor/pool/scheduler.cpp
@@ -130,7 +130,10 @@
             job.slots.push_back(slot);
         }
     }
-    job.predicted_run_time = expected_run(job);
+    const auto estimate = job.job.steps.empty() ? milliseconds{0} : job.job.steps.front().estimate;
+    job.prediction = m_run_times.predict_job(job.queue.name, estimate);
+    refresh_forecast(job);
+    job.predicted_run_time = job.forecast.typical();
     job.size = m_sizes.add(job.queue.name, predicted_work(job));
     const auto id = job.job.id;
     auto &stored = m_jobs.insert_or_assign(id, std::move(job)).first->second;
@@ -154,8 +157,8 @@
 }
 
 bool scheduler::cannot_start_in_time(const open_job &job, time_point now) const {
-    if(now - job.opened_at < internal::report_collection_time || job.earlier_runs_end_at + expected_run(job) < job.deadline ||
-       earlier_runs_ended(job, now)) {
+    const auto chance = job.forecast.chance(unfinished(job), job.deadline - job.earlier_runs_end_at, std::max(1.0, m_fastest));
+    if(now - job.opened_at < internal::report_collection_time || chance > internal::hopeless_chance || earlier_runs_ended(job, now)) {
         return false;
     }
     return std::none_of(job.slots.begin(), job.slots.end(), [](const task_slot &slot) { return slot.state == slot_state::placed; });
@@ -313,10 +316,10 @@
     end_overdue(now);
     stop_orphans(now);
     stop_stalled(now);
+    m_fastest = fastest_speed(now);
     end_unreachable_jobs(now);
     std::erase_if(m_recent_answers, [now](const auto &item) { return now - item.second.at > internal::recent_answer_time; });
     std::erase_if(m_orphan_ends, [now](const auto &item) { return now - item.second.ended_at > internal::recent_answer_time; });
-    m_fastest = fastest_speed(now);
     m_place_due = true;
     place(now);
     refuse_overload(now);
--- a/src/heathermoor/pool/scheduler.hpp
+++ b/src/heathermoor/pool/scheduler.hpp
@@ -2,6 +2,7 @@
 
 #include "heathermoor/job/job.hpp"
 #include "heathermoor/placement/target_health.hpp"
+#include "heathermoor/pool/job_forecast.hpp"
 #include "heathermoor/pool/job_size.hpp"
 #include "heathermoor/pool/ports.hpp"
 #include "heathermoor/pool/run_statistics.hpp"
@@ -202,8 +203,9 @@
         duration run_time{};
         /// Time by which an `out_of_reach` run has ended.
         time_point lapse_at;
-        /// Minimum speed of the next target after a move from a slow one; zero before a move.
-        double least_speed{};
+        /// What the task's runs have shown of its run time, and when its latest progress was seen.
+        std::optional<run_time_sample> sample;
+        time_point sampled_at;
         /// The progress of the present run has already counted as a sample for its target's speed.
         bool pace_observed{};
         /// Other runs that may be active; the task is not started while there are any.
@@ -230,6 +232,9 @@
         bool ever_started{};
         /// Answered or cancelled; erased once none of its runs may be active.
         bool closing{};
+        /// When its tasks end, by the prediction on arrival and the samples of its slots.
+        job_forecast forecast;
+        run_time_prediction prediction;
         /// Run time of a task on a target of mean speed, as predicted on arrival.
         duration predicted_run_time{};
         size_class size{size_class::rest};
@@ -282,10 +287,18 @@
     struct speed_range {
         /// Speed that meets the latency objective; the slowest target above it is preferred.
         double for_objective{};
-        /// Minimum speed; with less the deadline would be missed, and waiting for another target is better.
+        /// Minimum speed; with less the deadline is likely to be missed, and waiting for another target is better.
         double for_deadline{};
     };
 
+    /// @brief Chances that a run ends before its job's deadline.
+    struct run_outlook {
+        /// If it goes on where it is.
+        double here{};
+        /// If it is stopped and started again on the fastest target.
+        double moved{};
+    };
+
     /// @brief Properties by which targets are compared for a task.
     struct target_fit {
         double speed{1.0};
@@ -312,10 +325,14 @@
     void stop_orphans(time_point now);
     void stop_stalled(time_point now);
     [[nodiscard]] static unwanted_run *find_unwanted_run(task_slot &slot, const target_id &target);
+    /// Records the run time of a task that has ended here.
+    void observe_run_time(open_job &job, task_slot &slot, duration elapsed, double speed);
     [[nodiscard]] task_slot *find_slot(open_job &job, const job::task_ref &task);
     [[nodiscard]] bool step_ready(const open_job &job, std::uint32_t step) const;
-    [[nodiscard]] duration expected_run(const open_job &job) const;
-    [[nodiscard]] duration objective(const open_job &job) const;
+    [[nodiscard]] duration predicted_run(const open_job &job) const;
+    static void refresh_forecast(open_job &job);
+    [[nodiscard]] static std::size_t unfinished(const open_job &job);
+    [[nodiscard]] static duration objective(const open_job &job);
     /// Processor time of all tasks, in core-seconds, by the run time predicted on arrival.
     [[nodiscard]] static double predicted_work(const open_job &job);
     [[nodiscard]] std::vector<open_job *> waiting_in_order(time_point now);
@@ -329,7 +346,6 @@
     [[nodiscard]] double objective_speed(const open_job &job, time_point now) const;
     [[nodiscard]] double deadline_speed(const open_job &job, time_point now) const;
     [[nodiscard]] bool usable(const held_target &target, time_point now);
-    [[nodiscard]] duration longest_run(const open_job &job) const;
     [[nodiscard]] double task_capacity(const resources &need, const service_id &service) const;
     void place_job(open_job &job, const speed_range &speeds, std::vector<candidate> &candidates, time_point now);
     [[nodiscard]] static bool has_ample_capacity(const std::vector<candidate> &candidates);
@@ -338,7 +354,10 @@
     void check_pace(const held_target &target, const job::task_ref &task, const lease::run_entry &entry, time_point now,
                     std::vector<job_id> &unreachable);
     void log_pace(std::string_view event, const open_job &job, const job::task_ref &task, const held_target &target,
-                  const lease::run_entry &entry, duration total, time_point now) const;
+                  const lease::run_entry &entry, const run_outlook &chances, time_point now) const;
+    void observe_progress(open_job &job, task_slot &slot, const held_target &target, const lease::run_entry &entry);
+    [[nodiscard]] run_outlook outlook(const open_job &job, const task_slot &slot, const held_target &target, const lease::run_entry &entry,
+                                      time_point now) const;
     [[nodiscard]] double fastest_speed(time_point now);
     [[nodiscard]] time_point latest_start(const open_job &job) const;
 
@@ -359,7 +378,7 @@
     log_offset m_catalog_next{};
     scheduler_counts m_counts;
     size_ranking m_sizes;
-    /// Speed of the fastest usable target as of the last tick; zero if there was none.
+    /// Speed of the fastest targets that count as room, as of the last tick; zero if there was none.
     double m_fastest{1.0};
     /// Something has changed since the last placement round.
     bool m_place_due{};
--- a/src/heathermoor/pool/scheduler_outcomes.cpp
+++ b/src/heathermoor/pool/scheduler_outcomes.cpp
@@ -46,7 +46,7 @@
                {"waited_ms", now - job.sent_at},
                {"left_ms", job.deadline - now},
                {"tasks", job.slots.size()},
-               {"predicted_ms", expected_run(job)},
+               {"predicted_ms", job.forecast.typical()},
                {"slowest_speed", slowest->placed_speed},
                {"least_speed", speeds.for_deadline},
                {"preferred_speed", speeds.for_objective},
@@ -91,7 +91,7 @@
                {"work_core_s", predicted_work(job)},
                {"estimate_ms", duration{estimate}},
                {"predicted_ms", job.predicted_run_time},
-               {"expected_ms", expected_run(job)},
+               {"expected_ms", job.forecast.typical()},
                {"measured_ms", mean_run_time},
                {"longest_measured_ms", longest_run_time},
                {"retry_after_ms", duration{answer.retry_after}}});
--- a/src/heathermoor/pool/scheduler_pace.cpp
+++ b/src/heathermoor/pool/scheduler_pace.cpp
@@ -3,6 +3,8 @@
 #include "heathermoor/core/event.hpp"
 #include "heathermoor/pool/policy.hpp"
 #include <algorithm>
+#include <cmath>
+#include <functional>
 #include <utility>
 
 namespace heathermoor::pool {
@@ -19,12 +21,21 @@
 /// target's speed before it has ended.
 constexpr double slow_pace = 2.0;
 
-/// Ratio of the predicted run time to the time between order and deadline above which the
-/// deadline counts as unreachable.
-constexpr double unreachable_margin = 1.3;
+/// Minimum ratio of speeds for moving a run; a smaller one may be an error of the estimates.
+constexpr double worthwhile_speedup = 1.3;
 
-/// Minimum ratio of speeds for moving a run that would miss its deadline.
-constexpr double worthwhile_gain = 1.3;
+/// One target in so many is passed over as the fastest: of many estimates the highest ones are too high.
+constexpr std::size_t overestimated_part = 10;
+
+/// Minimum gain in the chance of meeting the deadline for moving a run.
+constexpr double worthwhile_gain = 0.2;
+
+/// Standard deviation of a progress in whole percent, which is rounded down.
+constexpr double percent_deviation = 0.29;
+constexpr double percent_mean = 0.5;
+
+/// Chances are logged in percent.
+constexpr double per_cent = 100.0;
 
 /// Time taken by stopping a run and starting it on another target.
 constexpr milliseconds move_time{60};
@@ -45,7 +56,7 @@
             if(found == m_jobs.end() || entry.state != lease::run_state::running || now - entry.progress_at < internal::stall_time) {
                 continue;
             }
-            const auto expected = from_ms(to_ms(expected_run(found->second)) * internal::stall_run_factor);
+            const auto expected = from_ms(to_ms(predicted_run(found->second)) * internal::stall_run_factor);
             if(now - entry.ordered_at > expected && !target.silent) {
                 due.emplace_back(id, task);
             }
@@ -58,62 +69,88 @@
 }
 
 double scheduler::fastest_speed(time_point now) {
-    double fastest = 0;
+    std::vector<double> speeds;
     for(const auto &[id, target]: m_holder.targets()) {
         if(usable(target, now)) {
-            fastest = std::max(fastest, m_speeds.speed(id));
+            speeds.push_back(m_speeds.speed(id));
         }
     }
-    return fastest;
+    if(speeds.empty()) {
+        return 0;
+    }
+    const auto nth = speeds.begin() + static_cast<std::ptrdiff_t>(speeds.size() / internal::overestimated_part);
+    std::nth_element(speeds.begin(), nth, speeds.end(), std::greater<>{});
+    return *nth;
+}
+
+void scheduler::observe_progress(open_job &job, task_slot &slot, const held_target &target, const lease::run_entry &entry) {
+    if(slot.sampled_at == entry.progress_at) {
+        return;
+    }
+    slot.sampled_at = entry.progress_at;
+    constexpr double whole = 100.0;
+    const auto percent = static_cast<double>(entry.percent) + internal::percent_mean;
+    const auto total_ms = to_ms(entry.progress_at - entry.ordered_at) * whole / percent;
+    if(!slot.pace_observed && total_ms > to_ms(predicted_run(job)) * internal::slow_pace) {
+        slot.pace_observed = true;
+        m_speeds.observe(target.entry.id, from_ms(total_ms), predicted_run(job));
+    }
+    const auto deviation = internal::percent_deviation / percent;
+    slot.sample = run_time_sample{std::log(total_ms * m_speeds.speed(target.entry.id)), deviation * deviation};
+    refresh_forecast(job);
+}
+
+scheduler::run_outlook scheduler::outlook(const open_job &job, const task_slot &slot, const held_target &target,
+                                          const lease::run_entry &entry, time_point now) const {
+    const auto left = job.deadline - now - internal::move_time;
+    run_outlook chances;
+    chances.here = job_forecast::chance_here(*slot.sample, job.deadline - entry.ordered_at, m_speeds.speed(target.entry.id));
+    chances.moved = job.forecast.chance_again(*slot.sample, left, m_fastest);
+    return chances;
 }
 
 void scheduler::check_pace(const held_target &target, const job::task_ref &task, const lease::run_entry &entry, time_point now,
                            std::vector<job_id> &unreachable) {
     const auto found = m_jobs.find(task.job);
     const auto elapsed = entry.progress_at - entry.ordered_at;
-    if(found == m_jobs.end() || found->second.closing || entry.state != lease::run_state::running ||
+    // The order of a run that was found here, and so its pace, is unknown.
+    if(found == m_jobs.end() || found->second.closing || entry.state != lease::run_state::running || !entry.ordered_here ||
        entry.percent < internal::min_percent || elapsed < internal::pace_time) {
         return;
     }
     auto &job = found->second;
-    constexpr double whole = 100.0;
-    const auto total_ms = to_ms(elapsed) * whole / static_cast<double>(entry.percent + 1);
     auto *slot = find_slot(job, task);
-    if(slot != nullptr && !slot->pace_observed && total_ms > to_ms(expected_run(job)) * internal::slow_pace) {
-        slot->pace_observed = true;
-        m_speeds.observe(target.entry.id, from_ms(total_ms), expected_run(job));
-    }
-    if(entry.ordered_at + from_ms(total_ms) <= job.deadline) {
+    if(slot == nullptr || slot->state != slot_state::placed || slot->target != target.entry.id) {
         return;
     }
-    const auto speed = m_speeds.speed(target.entry.id);
-    const auto faster = m_fastest * (1 - internal::speed_tolerance);
-    const auto rerun_ms = total_ms * speed / std::max(faster, speed);
-    const bool can_move = faster > speed * internal::worthwhile_gain && now + internal::move_time + from_ms(rerun_ms) < job.deadline;
-    if(slot != nullptr && can_move && slot->least_speed == 0) {
-        slot->least_speed = faster;
+    observe_progress(job, *slot, target, entry);
+    const auto chances = outlook(job, *slot, target, entry, now);
+    const bool faster_exists = m_fastest > m_speeds.speed(target.entry.id) * internal::worthwhile_speedup;
+    if(faster_exists && chances.moved > chances.here + internal::worthwhile_gain) {
         ++job.moves;
-        log_pace("run_moved", job, task, target, entry, from_ms(total_ms), now);
+        log_pace("run_moved", job, task, target, entry, chances, now);
         m_holder.stop(target.entry.id, task, now);
-    } else if(total_ms > to_ms(job.deadline - entry.ordered_at) * internal::unreachable_margin) {
-        log_pace("run_too_slow", job, task, target, entry, from_ms(total_ms), now);
+    } else if(std::max(chances.here, chances.moved) < internal::hopeless_chance) {
+        log_pace("run_too_slow", job, task, target, entry, chances, now);
         unreachable.push_back(task.job);
     }
 }
 
 void scheduler::log_pace(std::string_view event, const open_job &job, const job::task_ref &task, const held_target &target,
-                         const lease::run_entry &entry, duration total, time_point now) const {
+                         const lease::run_entry &entry, const run_outlook &chances, time_point now) const {
     log_event(log_level::info, "pool", event,
               {{"job", task.job},
                {"index", task.index},
                {"target", target.entry.id},
                {"percent", entry.percent},
                {"elapsed_ms", entry.progress_at - entry.ordered_at},
-               {"total_ms", total},
-               {"predicted_ms", expected_run(job)},
+               {"predicted_ms", job.predicted_run_time},
+               {"expected_ms", job.forecast.typical()},
                {"left_ms", job.deadline - now},
                {"speed", m_speeds.speed(target.entry.id)},
-               {"fastest_speed", m_fastest}});
+               {"fastest_speed", m_fastest},
+               {"percent_here", chances.here * internal::per_cent},
+               {"percent_moved", chances.moved * internal::per_cent}});
 }
 
 void scheduler::end_unreachable_jobs(time_point now) {
--- a/src/heathermoor/pool/scheduler_placing.cpp
+++ b/src/heathermoor/pool/scheduler_placing.cpp
@@ -12,10 +12,6 @@
 
 namespace internal {
 
-/// Expected excess of the longest of n tasks over their mean, as a factor on ln(n);
-/// fits run times that spread by about 40%.
-constexpr double longest_task_growth = 0.35;
-
 /// Share of the time until the latest start that may pass in the queue; the rest
 /// covers tasks that run longer than expected.
 constexpr double waiting_share = 0.9;
@@ -24,8 +20,14 @@
 /// go to the fastest targets first; below it, those are kept for the jobs that need them.
 constexpr double ample_capacity_share = 0.4;
 
-/// Safety factor on the speed that a job needs to meet its objective.
-constexpr double speed_margin = 1.25;
+/// Chance with which a target should meet the latency objective to be preferred.
+constexpr double objective_chance = 0.9;
+
+/// Chance of meeting the deadline that a job gives up at most by starting at once in place of waiting for a fast target.
+constexpr double tolerated_loss = 0.05;
+
+/// Chance of meeting the deadline from which a job is worth its place in the queue.
+constexpr double worthwhile_chance = 0.2;
 
 /// Expected wait for free capacity on a fast target under steady load.
 constexpr milliseconds fast_target_wait{60};
@@ -39,18 +41,27 @@
     });
 }
 
-duration scheduler::expected_run(const open_job &job) const {
+duration scheduler::predicted_run(const open_job &job) const {
     const auto hint = job.job.steps.empty() ? milliseconds{0} : job.job.steps.front().estimate;
     return m_run_times.predict(job.queue.name, hint);
 }
 
-duration scheduler::longest_run(const open_job &job) const {
-    const auto width = std::max<std::size_t>(1, job.slots.size());
-    return from_ms(to_ms(expected_run(job)) * (1.0 + internal::longest_task_growth * std::log(static_cast<double>(width))));
+void scheduler::refresh_forecast(open_job &job) {
+    job.forecast = job_forecast{job.prediction};
+    for(const auto &slot: job.slots) {
+        if(slot.sample) {
+            job.forecast.observe(*slot.sample);
+        }
+    }
+}
+
+std::size_t scheduler::unfinished(const open_job &job) {
+    return static_cast<std::size_t>(
+        std::count_if(job.slots.begin(), job.slots.end(), [](const task_slot &slot) { return slot.state != slot_state::done; }));
 }
 
-duration scheduler::objective(const open_job &job) const {
-    return from_ms(to_ms(longest_run(job)) * job.queue.stretch) + job.queue.target_latency;
+duration scheduler::objective(const open_job &job) {
+    return from_ms(to_ms(job.forecast.longest(job.slots.size())) * job.queue.stretch) + job.queue.target_latency;
 }
 
 bool scheduler::usable(const held_target &target, time_point now) {
@@ -75,24 +86,27 @@
 }
 
 time_point scheduler::latest_start(const open_job &job) const {
-    const auto longest = longest_run(job);
-    const auto by_objective = job.sent_at + objective(job) - longest;
-    const auto by_deadline = job.deadline - from_ms(to_ms(longest) / std::max(1.0, m_fastest));
-    return std::min(by_objective, by_deadline);
+    const auto fastest = std::max(1.0, m_fastest);
+    const auto typical = job.forecast.longest(job.slots.size());
+    const auto least = from_ms(to_ms(job.forecast.time_for(internal::worthwhile_chance, unfinished(job))) / fastest);
+    return std::min(job.sent_at + objective(job) - typical, job.deadline - least);
 }
 
 double scheduler::objective_speed(const open_job &job, time_point now) const {
     const auto limit = std::min(job.sent_at + objective(job), job.deadline);
     const auto left_ms = to_ms(limit - now);
-    return left_ms > 0 ? to_ms(longest_run(job)) * internal::speed_margin / left_ms : 0;
+    return left_ms > 0 ? to_ms(job.forecast.time_for(internal::objective_chance, unfinished(job))) / left_ms : 0;
 }
 
 double scheduler::deadline_speed(const open_job &job, time_point now) const {
-    const auto run_ms = to_ms(expected_run(job));
-    const auto left_ms = to_ms(job.deadline - now);
-    const auto needed = left_ms > 0 ? run_ms / left_ms : 0;
-    const bool worth_waiting = to_ms(job.deadline - now - internal::fast_target_wait) * m_fastest > run_ms;
-    return worth_waiting ? std::min(needed, m_fastest * (1 - internal::speed_tolerance)) : 0;
+    const auto tasks = unfinished(job);
+    const auto left = job.deadline - now;
+    const auto chance = job.forecast.chance(tasks, left - internal::fast_target_wait, m_fastest) - internal::tolerated_loss;
+    if(chance <= 0) {
+        return 0;
+    }
+    const auto needed = to_ms(job.forecast.time_for(chance, tasks)) / to_ms(left);
+    return std::min(needed, m_fastest * (1 - internal::speed_tolerance));
 }
 
 scheduler::candidate *scheduler::choose_target(const open_job &job, const task_slot &slot, const speed_range &speeds,
@@ -103,8 +117,8 @@
     double best_speed = 0;
     std::int64_t best_left = 0;
     for(auto &one: candidates) {
-        if(one.target->entry.service != job.queue.service || !step.need.fits(one.free) ||
-           one.speed < std::max(speeds.for_deadline, std::min(slot.least_speed, m_fastest)) || !suits(job, slot, one)) {
+        if(one.target->entry.service != job.queue.service || !step.need.fits(one.free) || one.speed < speeds.for_deadline ||
+           !suits(job, slot, one)) {
             continue;
         }
         const auto &labels = one.target->entry.labels;
@@ -254,7 +268,7 @@
         const auto waiting =
             std::count_if(job->slots.begin(), job->slots.end(), [](const task_slot &slot) { return slot.state == slot_state::waiting; });
         const auto places = std::max(1.0, task_capacity(job->job.steps.front().need, job->queue.service));
-        const auto work_ms = to_ms(expected_run(*job)) * static_cast<double>(waiting) / places;
+        const auto work_ms = to_ms(job->forecast.typical()) * static_cast<double>(waiting) / places;
         const auto slack_ms = to_ms(latest_start(*job) - now) * internal::waiting_share;
         if(!job->ever_started && ahead_ms > std::max(0.0, slack_ms)) {
             log_event(log_level::info, "pool", "job_hopeless",
@@ -263,7 +277,7 @@
                        {"slack_ms", slack_ms},
                        {"places", places},
                        {"targets", m_holder.targets().size()},
-                       {"predicted_ms", expected_run(*job)},
+                       {"predicted_ms", job->forecast.typical()},
                        {"fastest_speed", m_fastest}});
             refused.emplace_back(job->job.id, std::max(internal::min_retry_after, milliseconds{static_cast<std::int64_t>(ahead_ms)}));
             continue;
--- a/src/heathermoor/pool/scheduler_runs.cpp
+++ b/src/heathermoor/pool/scheduler_runs.cpp
@@ -2,6 +2,7 @@
 
 #include "heathermoor/core/event.hpp"
 #include <algorithm>
+#include <cmath>
 #include <utility>
 
 namespace heathermoor::pool {
@@ -12,6 +13,9 @@
 /// belong to no known job are stopped after it.
 constexpr milliseconds orphan_grace_time{450};
 
+/// Lower bound of a run time, in milliseconds, before taking the logarithm.
+constexpr double min_run_ms = 0.5;
+
 /// Increment of a task's run number after a start that was not carried out; a target
 /// rejects a number that is not above those it has seen stopped or ended.
 constexpr std::uint64_t run_number_step = 16;
@@ -33,6 +37,23 @@
     return found == slot.unwanted_runs.end() ? nullptr : &*found;
 }
 
+void scheduler::observe_run_time(open_job &job, task_slot &slot, duration elapsed, double speed) {
+    slot.run_time = from_ms(to_ms(elapsed) * speed);
+    double earlier_sum = 0;
+    std::size_t earlier = 0;
+    for(const auto &other: job.slots) {
+        if(&other != &slot && other.run_time > duration::zero()) {
+            earlier_sum += std::log(to_ms(other.run_time));
+            ++earlier;
+        }
+    }
+    if(earlier > 0) {
+        m_run_times.observe_within_job(job.queue.name, slot.run_time, earlier_sum / static_cast<double>(earlier), earlier);
+    }
+    slot.sample = run_time_sample{std::log(std::max(internal::min_run_ms, to_ms(slot.run_time))), 0};
+    refresh_forecast(job);
+}
+
 void scheduler::run_ended(const target_id &target, const lease::ended_run &end, time_point now) {
     m_place_due = true;
     if(end.how == lease::run_end::lease_expired || end.how == lease::run_end::lost) {
@@ -72,13 +93,13 @@
         return;
     }
     slot->state = slot_state::waiting;
-    const auto expected = expected_run(job);
+    const auto expected = predicted_run(job);
     switch(end.how) {
     case lease::run_end::done:
         slot->state = slot_state::done;
         m_target_states[target].health.succeeded();
         if(end.ordered_here) {
-            slot->run_time = from_ms(to_ms(end.elapsed) * m_speeds.speed(target));
+            observe_run_time(job, *slot, end.elapsed, m_speeds.speed(target));
             m_run_times.observe(job.queue.name, job.job.steps[slot->step].estimate, end.elapsed, m_speeds.speed(target));
             if(!slot->pace_observed) {
                 m_speeds.observe(target, end.elapsed, expected);
--- a/tests/pool/scheduler.cpp
+++ b/tests/pool/scheduler.cpp
@@ -508,3 +508,115 @@
         }
     }
 }
+
+// Guards against placing by the median of one task: half of all tasks run longer, and a job ends with its last one.
+SCENARIO("A job of several tasks avoids a target on which its last task would probably be late", "[pool]") {
+    constexpr milliseconds probably_late_on_slow{1'200};
+    scheduler_fixture fixture;
+    fixture.add_targets(2);
+    fixture.learn_speeds();
+    fixture.submit("wide", "a", 4, 2, probably_late_on_slow);
+    THEN("as many tasks as fit start on the fast target, the others wait for it") {
+        REQUIRE(fixture.starts.size() == 2);
+        CHECK(fixture.starts[0].to.target == target_id{"t0"});
+        CHECK(fixture.starts[1].to.target == target_id{"t0"});
+        fixture.answer_starts();
+        fixture.end({job_id{"wide"}, 0, 0}, lease::run_end::done);
+        fixture.now += milliseconds{400};
+        fixture.answer_reports();
+        REQUIRE(fixture.starts.size() == 1);
+        CHECK(fixture.starts.front().to.target == target_id{"t0"});
+    }
+}
+
+// Guards against judging each run by itself: the tasks of one job were moved off slow targets one after another, and a task
+// that still waited went to a slow target again.
+SCENARIO("A waiting task goes by what the running tasks of its job have shown", "[pool]") {
+    GIVEN("a job of three tasks of which two run on the fast target, ten times as long as predicted") {
+        scheduler_fixture world;
+        world.add_targets(2);
+        world.learn_speeds();
+        world.submit("short", "a", 4);
+        world.answer_starts();
+        const auto on_fast = [&world](const std::string &job) {
+            std::vector<job::task_ref> tasks;
+            for(const auto &[task, run]: world.running) {
+                if(task.job == job_id{job} && run.target == target_id{"t0"}) {
+                    tasks.push_back(task);
+                }
+            }
+            return tasks;
+        };
+        for(const auto &task: on_fast("short")) {
+            world.end(task, lease::run_end::done);
+        }
+        world.now += milliseconds{100};
+        world.answer_reports();
+        world.submit("long", "a", 3);
+        world.answer_starts();
+        REQUIRE(on_fast("long").size() == 2);
+        for(auto &[task, run]: world.running) {
+            run.percent = task.job == job_id{"long"} ? 13 : 90;
+        }
+        world.now += milliseconds{130};
+        world.tick();
+        world.answer_reports();
+        world.tick();
+        WHEN("the slow target gets free") {
+            const auto rest = world.running;
+            for(const auto &[task, run]: rest) {
+                if(task.job == job_id{"short"}) {
+                    world.end(task, lease::run_end::done);
+                }
+            }
+            world.now += milliseconds{20};
+            world.tick();
+            world.answer_reports();
+            THEN("the third task waits for the fast one") {
+                CHECK(world.starts.empty());
+                CHECK(world.answers[job_id{"long"}].empty());
+            }
+        }
+    }
+}
+
+// Guards against ending a job by a cautious figure: runs were given up although a move to the fastest target was in time.
+SCENARIO("A job is given up only when it is almost certainly late", "[pool]") {
+    scheduler_fixture fixture;
+    fixture.add_targets(2);
+    fixture.learn_speeds();
+    fixture.submit("short", "a", 2);
+    fixture.answer_starts();
+    fixture.submit("long", "a", 1);
+    fixture.answer_starts();
+    const job::task_ref task{job_id{"long"}, 0, 0};
+    REQUIRE(fixture.running.at(task).target == target_id{"t1"});
+    const auto report_progress = [&](milliseconds after, std::int64_t percent) {
+        fixture.now += after;
+        fixture.running.at(task).percent = percent;
+        fixture.tick();
+        fixture.answer_reports();
+        fixture.stops.clear();
+        fixture.tick();
+    };
+    for(const auto &short_task: {job::task_ref{job_id{"short"}, 0, 0}, job::task_ref{job_id{"short"}, 0, 1}}) {
+        fixture.end(short_task, lease::run_end::done);
+    }
+    GIVEN("a run on the slow target that would be just in time on the fast one") {
+        report_progress(milliseconds{146}, 3);
+        THEN("it is not given up, and moves once its pace is known better") {
+            CHECK(fixture.answers[task.job].empty());
+            report_progress(milliseconds{14}, 4);
+            CHECK(fixture.answers[task.job].empty());
+            REQUIRE_FALSE(fixture.stops.empty());
+            CHECK(fixture.stops.front().task == task);
+        }
+    }
+    GIVEN("a run that is late by far on any target") {
+        report_progress(milliseconds{200}, 1);
+        THEN("its caller learns it at once") {
+            REQUIRE(fixture.answers[task.job].size() == 1);
+            CHECK(fixture.answers[task.job].front().second.reason == errc::deadline_unreachable);
+        }
+    }
+}
--- a/tests/support/pool_world.hpp
+++ b/tests/support/pool_world.hpp
@@ -135,6 +135,8 @@
         job::queue_policy queue;
         time_point sent_at;
         job_record record;
+        /// Entry host of a job with a kind.
+        std::size_t entry_host{};
     };
     struct open_call {
         job_id job;
@@ -183,6 +185,8 @@
 
     options m_options;
     std::mt19937_64 m_random;
+    /// Draws jobs of the kinds, so that the same seed gives the same jobs whatever the hosts do.
+    std::mt19937_64 m_job_random;
     time_point m_now{seconds{1'000}};
     std::priority_queue<event> m_events;
     std::uint64_t m_next_event{};
