Refuse only for want of room that is known to be missing, and by the same speed for every limit

What callers saw: after the loss of all hosts large jobs were refused 7 to 42 ms after they were sent, with 1.3 s left.

Cause: a scheduler that had just begun counted only the targets whose claims were answered (places 1 on 42 targets) and took the mean speed for the fastest. The wait that a job can bear was also counted by the mean speed for its objective, by the fastest for its deadline.

Change: targets that are being claimed count as room, and for 600 ms after a scheduler begins or loses a target to another holder all targets in scope that answer. Both limits go by the fastest targets.

Test that failed before: 'Targets that are still being claimed count as room'.

--- a/src/heathermoor/pool/policy.hpp
+++ b/src/heathermoor/pool/policy.hpp
@@ -13,4 +13,7 @@
 /// Chance of ending before the deadline below which a job counts as hopeless.
 inline constexpr double hopeless_chance = 0.03;
 
+/// Time in which claims are answered, and in which several hosts that lead at once agree on one of them.
+inline constexpr milliseconds settling_time{600};
+
 } // namespace heathermoor::pool::internal
--- a/src/heathermoor/pool/scheduler.cpp
+++ b/src/heathermoor/pool/scheduler.cpp
@@ -76,6 +76,7 @@
     m_orphan_ends.clear();
     m_hosts_confirmed_until.clear();
     m_recent_answers.clear();
+    m_settling_until.reset();
 }
 
 void scheduler::submit(submission work, time_point now) {
@@ -316,6 +317,7 @@
     end_overdue(now);
     stop_orphans(now);
     stop_stalled(now);
+    update_settling(now);
     m_fastest = fastest_speed(now);
     end_unreachable_jobs(now);
     std::erase_if(m_recent_answers, [now](const auto &item) { return now - item.second.at > internal::recent_answer_time; });
--- a/src/heathermoor/pool/scheduler.hpp
+++ b/src/heathermoor/pool/scheduler.hpp
@@ -346,7 +346,10 @@
     [[nodiscard]] double objective_speed(const open_job &job, time_point now) const;
     [[nodiscard]] double deadline_speed(const open_job &job, time_point now) const;
     [[nodiscard]] bool usable(const held_target &target, time_point now);
-    [[nodiscard]] double task_capacity(const resources &need, const service_id &service) const;
+    [[nodiscard]] bool available_soon(const held_target &target, time_point now);
+    [[nodiscard]] bool counts_as_room(const held_target &target, time_point now);
+    void update_settling(time_point now);
+    [[nodiscard]] double task_capacity(const resources &need, const service_id &service, time_point now);
     void place_job(open_job &job, const speed_range &speeds, std::vector<candidate> &candidates, time_point now);
     [[nodiscard]] static bool has_ample_capacity(const std::vector<candidate> &candidates);
     void refuse_overload(time_point now);
@@ -380,6 +383,8 @@
     size_ranking m_sizes;
     /// Speed of the fastest targets that count as room, as of the last tick; zero if there was none.
     double m_fastest{1.0};
+    /// Until when targets that are not held yet count as room: the scheduler has just begun, or lost a target to another holder.
+    std::optional<time_point> m_settling_until;
     /// Something has changed since the last placement round.
     bool m_place_due{};
 };
--- a/src/heathermoor/pool/scheduler_pace.cpp
+++ b/src/heathermoor/pool/scheduler_pace.cpp
@@ -71,7 +71,7 @@
 double scheduler::fastest_speed(time_point now) {
     std::vector<double> speeds;
     for(const auto &[id, target]: m_holder.targets()) {
-        if(usable(target, now)) {
+        if(counts_as_room(target, now)) {
             speeds.push_back(m_speeds.speed(id));
         }
     }
--- a/src/heathermoor/pool/scheduler_placing.cpp
+++ b/src/heathermoor/pool/scheduler_placing.cpp
@@ -73,6 +73,25 @@
     return target.ledger.runs().size() < m_target_states[target.entry.id].health.limit(unlimited, now);
 }
 
+bool scheduler::available_soon(const held_target &target, time_point now) {
+    if(target.state == hold_state::held) {
+        return usable(target, now);
+    }
+    const bool claimed_soon = target.state == hold_state::idle || target.state == hold_state::claiming;
+    return claimed_soon && !target.silent && !target.removed && !target.leaving && !target.entry.draining;
+}
+
+bool scheduler::counts_as_room(const held_target &target, time_point now) {
+    const bool may_serve = !target.silent && !target.removed && !target.leaving && !target.entry.draining;
+    return available_soon(target, now) || (may_serve && m_settling_until && now < *m_settling_until);
+}
+
+void scheduler::update_settling(time_point now) {
+    if(!m_settling_until && !m_holder.targets().empty()) {
+        m_settling_until = now + internal::settling_time;
+    }
+}
+
 std::vector<scheduler::candidate> scheduler::find_candidates(time_point now) {
     std::vector<candidate> candidates;
     for(const auto &[id, target]: m_holder.targets()) {
@@ -87,7 +106,7 @@
 
 time_point scheduler::latest_start(const open_job &job) const {
     const auto fastest = std::max(1.0, m_fastest);
-    const auto typical = job.forecast.longest(job.slots.size());
+    const auto typical = from_ms(to_ms(job.forecast.longest(job.slots.size())) / fastest);
     const auto least = from_ms(to_ms(job.forecast.time_for(internal::worthwhile_chance, unfinished(job))) / fastest);
     return std::min(job.sent_at + objective(job) - typical, job.deadline - least);
 }
@@ -251,10 +270,10 @@
     }
 }
 
-double scheduler::task_capacity(const resources &need, const service_id &service) const {
+double scheduler::task_capacity(const resources &need, const service_id &service, time_point now) {
     std::int64_t places = 0;
     for(const auto &[id, target]: m_holder.targets()) {
-        if(target.entry.service == service && target.state == hold_state::held && !target.silent && !target.entry.draining) {
+        if(target.entry.service == service && counts_as_room(target, now)) {
             places += pieces(need, target.entry.capacity);
         }
     }
@@ -267,7 +286,7 @@
     for(const auto *job: waiting_in_order(now)) {
         const auto waiting =
             std::count_if(job->slots.begin(), job->slots.end(), [](const task_slot &slot) { return slot.state == slot_state::waiting; });
-        const auto places = std::max(1.0, task_capacity(job->job.steps.front().need, job->queue.service));
+        const auto places = std::max(1.0, task_capacity(job->job.steps.front().need, job->queue.service, now));
         const auto work_ms = to_ms(job->forecast.typical()) * static_cast<double>(waiting) / places;
         const auto slack_ms = to_ms(latest_start(*job) - now) * internal::waiting_share;
         if(!job->ever_started && ahead_ms > std::max(0.0, slack_ms)) {
--- a/src/heathermoor/pool/scheduler_runs.cpp
+++ b/src/heathermoor/pool/scheduler_runs.cpp
@@ -1,6 +1,7 @@
 #include "heathermoor/pool/scheduler.hpp"
 
 #include "heathermoor/core/event.hpp"
+#include "heathermoor/pool/policy.hpp"
 #include <algorithm>
 #include <cmath>
 #include <utility>
@@ -163,6 +164,7 @@
 }
 
 void scheduler::target_taken(const target_id &target, const std::vector<job::task_ref> &runs, time_point lapse, time_point now) {
+    m_settling_until = now + internal::settling_time;
     for(const auto &task: runs) {
         m_orphans.erase(task);
         const auto found = m_jobs.find(task.job);
--- a/tests/pool/scheduler.cpp
+++ b/tests/pool/scheduler.cpp
@@ -620,3 +620,57 @@
         }
     }
 }
+
+// Guards against refusals by a host that has just taken over: it counted one target of 42 and refused jobs 9 ms after they were sent.
+SCENARIO("Targets that are still being claimed count as room", "[pool]") {
+    constexpr int jobs = 12;
+    scheduler_fixture fixture;
+    std::vector<scoped_target> targets;
+    std::set<target_id> known;
+    for(int index = 0; index < 8; ++index) {
+        catalog::target_entry entry;
+        entry.id = target_id{"t" + std::to_string(index)};
+        entry.service = service_id{"s"};
+        entry.capacity = {2 * task_cpu, 1'000, 0};
+        known.insert(entry.id);
+        targets.push_back({entry, milliseconds{300}});
+    }
+    fixture.subject.set_targets(targets, known, log_offset{1});
+    fixture.tick();
+    const auto first = std::find_if(fixture.reports.begin(), fixture.reports.end(),
+                                    [](const report_order &order) { return order.to.target == target_id{"t0"}; });
+    REQUIRE(first != fixture.reports.end());
+    std::vector<report_order> open{fixture.reports};
+    std::swap(open.front(), open[static_cast<std::size_t>(first - fixture.reports.begin())]);
+    fixture.reports = {open.front()};
+    open.erase(open.begin());
+    fixture.answer_reports();
+    for(int index = 0; index < jobs; ++index) {
+        fixture.submit("job" + std::to_string(index), "a", 1, 0, milliseconds{400});
+    }
+    fixture.now += milliseconds{10};
+    fixture.tick();
+    REQUIRE(fixture.starts.size() == 2);
+
+    GIVEN("claims that are not answered yet") {
+        CHECK(fixture.count(job::outcome::refused) == 0);
+        WHEN("they are answered") {
+            fixture.reports = open;
+            fixture.answer_reports();
+            THEN("the jobs start") {
+                CHECK(fixture.starts.size() == jobs);
+            }
+        }
+        WHEN("the targets do not answer") {
+            for(const auto &order: open) {
+                fixture.subject.report_answered(
+                    {order.to.target, order.to.token, order.purpose, lease::order_outcome::unanswered, {}, {}, fixture.now}, fixture.now);
+            }
+            fixture.now += milliseconds{10};
+            fixture.tick();
+            THEN("the jobs that cannot wait for the one that did are refused") {
+                CHECK(fixture.count(job::outcome::refused) > 0);
+            }
+        }
+    }
+}
