Give up jobs of an earlier leader by the median run time again

Cause: by the chance, a job that an earlier leader had was kept longer and started once all targets had reported, though an earlier leader that still lives may start it for 450 ms. The race is older; the change made it likelier. The decision is as it was.

--- a/src/heathermoor/pool/scheduler.cpp
+++ b/src/heathermoor/pool/scheduler.cpp
@@ -158,8 +158,8 @@
 }
 
 bool scheduler::cannot_start_in_time(const open_job &job, time_point now) const {
-    const auto chance = job.forecast.chance(unfinished(job), job.deadline - job.earlier_runs_end_at, std::max(1.0, m_fastest));
-    if(now - job.opened_at < internal::report_collection_time || chance > internal::hopeless_chance || earlier_runs_ended(job, now)) {
+    if(now - job.opened_at < internal::report_collection_time || job.earlier_runs_end_at + predicted_run(job) < job.deadline ||
+       earlier_runs_ended(job, now)) {
         return false;
     }
     return std::none_of(job.slots.begin(), job.slots.end(), [](const task_slot &slot) { return slot.state == slot_state::placed; });
