Statistics of an earlier version count as unknown spreads, not as none

Cause: the variance around the predictions was weighted by the number of all tasks. Statistics that an earlier version has stored have that number but no variance, so that a new host would have taken its predictions for nearly exact after a rolling upgrade, until it had learned again.

The variance now has its own number of samples. Test: 'statistics of an earlier version, which had no spreads' (tests/pool/run_statistics.cpp); the field that it clears is new, so it could not be run before.

--- a/src/heathermoor/member/convert.cpp
+++ b/src/heathermoor/member/convert.cpp
@@ -1,5 +1,7 @@
 #include "heathermoor/member/convert.hpp"
 
+#include <algorithm>
+#include <array>
 #include <cmath>
 
 namespace heathermoor::member {
@@ -184,6 +186,7 @@
         queue.set_variance_declared(known.variance_declared);
         queue.set_covariance(known.covariance);
         queue.set_variance_residual(known.variance_residual);
+        queue.set_samples_residual(known.samples_residual);
         queue.set_variance_within_job(known.variance_within_job);
         queue.set_samples_within_job(known.samples_within_job);
     }
@@ -200,14 +203,21 @@
 pool::run_statistics from_wire(const wire::pool_experience &message) {
     pool::run_statistics learned;
     for(const auto &queue: message.queues()) {
-        const pool::queue_statistics known{
-            queue_id{queue.queue()},   queue.samples(),    queue.mean_declared(),     queue.mean_observed(),
-            queue.variance_declared(), queue.covariance(), queue.variance_residual(), queue.variance_within_job(),
-            queue.samples_within_job()};
-        const bool finite = std::isfinite(known.samples) && std::isfinite(known.mean_declared) && std::isfinite(known.mean_observed) &&
-                            std::isfinite(known.variance_declared) && std::isfinite(known.covariance) &&
-                            std::isfinite(known.variance_residual) && std::isfinite(known.variance_within_job) &&
-                            std::isfinite(known.samples_within_job);
+        pool::queue_statistics known;
+        known.queue = queue_id{queue.queue()};
+        known.samples = queue.samples();
+        known.mean_declared = queue.mean_declared();
+        known.mean_observed = queue.mean_observed();
+        known.variance_declared = queue.variance_declared();
+        known.covariance = queue.covariance();
+        known.variance_residual = queue.variance_residual();
+        known.samples_residual = queue.samples_residual();
+        known.variance_within_job = queue.variance_within_job();
+        known.samples_within_job = queue.samples_within_job();
+        const std::array values{known.samples,           known.mean_declared,       known.mean_observed,
+                                known.variance_declared, known.covariance,          known.variance_residual,
+                                known.samples_residual,  known.variance_within_job, known.samples_within_job};
+        const bool finite = std::all_of(values.begin(), values.end(), [](double value) { return std::isfinite(value); });
         if(finite && known.samples > 0) {
             learned.queues.push_back(known);
         }
--- a/src/heathermoor/pool/run_statistics.hpp
+++ b/src/heathermoor/pool/run_statistics.hpp
@@ -15,8 +15,9 @@
     double mean_observed{};
     double variance_declared{};
     double covariance{};
-    /// Variance of the observed times around their predictions.
+    /// Variance of the observed times around their predictions, and the number of tasks that it comes from.
     double variance_residual{};
+    double samples_residual{};
     /// Variance between the tasks of one job, and the number of tasks that it comes from.
     double variance_within_job{};
     double samples_within_job{};
--- a/src/heathermoor/pool/run_time_estimator.cpp
+++ b/src/heathermoor/pool/run_time_estimator.cpp
@@ -72,7 +72,7 @@
         return (prior * internal::prior_deviation_samples + learned * samples) / (internal::prior_deviation_samples + samples);
     };
     result.task_variance = mixed(prior_task, known.variance_within_job, known.samples_within_job);
-    const auto total = mixed(prior_job + prior_task, known.variance_residual, known.samples);
+    const auto total = mixed(prior_job + prior_task, known.variance_residual, known.samples_residual);
     result.job_variance = std::max(0.0, total - result.task_variance);
     return result;
 }
@@ -97,7 +97,9 @@
     const auto gain = 1.0 / std::min(known.samples, internal::window_samples);
     const auto y = internal::log_ms(to_ms(observed) * speed);
     const auto residual = std::clamp(y - predicted, -internal::max_deviation, internal::max_deviation);
-    known.variance_residual += gain * (residual * residual - known.variance_residual);
+    known.samples_residual += 1;
+    const auto residual_gain = 1.0 / std::min(known.samples_residual, internal::window_samples);
+    known.variance_residual += residual_gain * (residual * residual - known.variance_residual);
     const auto x = declared > milliseconds{0} ? internal::log_ms(static_cast<double>(declared.count())) : known.mean_declared;
     const auto x_before = x - known.mean_declared;
     known.mean_declared += gain * x_before;
--- a/tests/pool/run_statistics.cpp
+++ b/tests/pool/run_statistics.cpp
@@ -43,6 +43,25 @@
             CHECK(other_speeds.speed(target_id{"fast"}) == Approx(speeds.speed(target_id{"fast"})));
         }
     }
+    GIVEN("statistics of an earlier version, which had no spreads") {
+        auto message = member::to_wire(learned);
+        for(auto &one: *message.mutable_queues()) {
+            one.clear_variance_residual();
+            one.clear_samples_residual();
+            one.clear_variance_within_job();
+            one.clear_samples_within_job();
+        }
+        pool::run_time_estimator successor;
+        for(const auto &one: member::from_wire(message).queues) {
+            successor.restore(one);
+        }
+        THEN("the successor assumes the spreads of an unknown queue") {
+            const auto prediction = successor.predict_job(queue, milliseconds{100});
+            const auto unknown = successor.predict_job(queue_id{"other"}, milliseconds{100});
+            CHECK(prediction.job_variance == Approx(unknown.job_variance));
+            CHECK(prediction.task_variance == Approx(unknown.task_variance));
+        }
+    }
     GIVEN("statistics that are not finite numbers") {
         learned.queues.front().mean_observed = std::numeric_limits<double>::quiet_NaN();
         learned.targets.front().mean_log_ratio = std::numeric_limits<double>::infinity();
