--- a/tests/pool/scheduler.cpp
+++ b/tests/pool/scheduler.cpp
@@ -24,7 +24,8 @@
     void release(const target_id &) override {}
     void answer(const host_id &to, const job_id &job, const job::answer &answer) override { answers[job].emplace_back(to, answer); }
 
-    void add_targets(int count) {
+    /// Puts targets in scope and sends the claims; nothing is answered.
+    void list_targets(int count) {
         std::vector<scoped_target> targets;
         std::set<target_id> known;
         for(int index = 0; index < count; ++index) {
@@ -37,6 +38,10 @@
         }
         subject.set_targets(targets, known, log_offset{1});
         tick();
+    }
+
+    void add_targets(int count) {
+        list_targets(count);
         answer_reports();
     }
 
@@ -511,7 +516,7 @@
 
 // Guards against placing by the median of one task: half of all tasks run longer, and a job ends with its last one.
 SCENARIO("A job of several tasks avoids a target on which its last task would probably be late", "[pool]") {
-    constexpr milliseconds probably_late_on_slow{1'200};
+    constexpr milliseconds probably_late_on_slow{700};
     scheduler_fixture fixture;
     fixture.add_targets(2);
     fixture.learn_speeds();
@@ -625,18 +630,7 @@
 SCENARIO("Targets that are still being claimed count as room", "[pool]") {
     constexpr int jobs = 12;
     scheduler_fixture fixture;
-    std::vector<scoped_target> targets;
-    std::set<target_id> known;
-    for(int index = 0; index < 8; ++index) {
-        catalog::target_entry entry;
-        entry.id = target_id{"t" + std::to_string(index)};
-        entry.service = service_id{"s"};
-        entry.capacity = {2 * task_cpu, 1'000, 0};
-        known.insert(entry.id);
-        targets.push_back({entry, milliseconds{300}});
-    }
-    fixture.subject.set_targets(targets, known, log_offset{1});
-    fixture.tick();
+    fixture.list_targets(8);
     const auto first = std::find_if(fixture.reports.begin(), fixture.reports.end(),
                                     [](const report_order &order) { return order.to.target == target_id{"t0"}; });
     REQUIRE(first != fixture.reports.end());
