Reword the forecast's comments; name log fields after what they hold

job_hopeless is job_refused, percent_here and percent_moved are chance_here_percent and chance_moved_percent: percent alone is a run's progress. Constants of the approximations have names. No decision has changed: shares and pool tests give the same results.

--- a/src/heathermoor/pool/job_forecast.cpp
+++ b/src/heathermoor/pool/job_forecast.cpp
@@ -28,15 +28,22 @@
     return boost::math::quantile(boost::math::normal_distribution<double, fast_policy>{}, probability);
 }
 
-/// Most tasks of a job.
+/// Number of tasks from which on the maximum is taken for that of this many.
 constexpr std::size_t max_tasks = 128;
 
-/// Expected maxima of one to `max_tasks` standard normal values, by Blom's approximation.
+/// Parameters of Blom's approximation of the expected maximum of normal values.
+constexpr double blom_offset = 0.375;
+constexpr double blom_total = 0.25;
+
+/// How fast the variance of the maximum of normal values falls with the logarithm of their number.
+constexpr double maximum_variance_fall = 0.75;
+
+/// Expected maxima of one to `max_tasks` standard normal values.
 [[nodiscard]] std::array<double, max_tasks> compute_maxima() {
     std::array<double, max_tasks> maxima{};
     for(std::size_t index = 0; index < max_tasks; ++index) {
         const auto n = static_cast<double>(index + 1);
-        maxima.at(index) = normal_quantile((n - 0.375) / (n + 0.25));
+        maxima.at(index) = normal_quantile((n - blom_offset) / (n + blom_total));
     }
     return maxima;
 }
@@ -47,12 +54,12 @@
     return maxima.at(std::clamp<std::size_t>(count, 1, max_tasks) - 1);
 }
 
-/// Variance of the maximum of several standard normal values; within 0.02 of the exact one up to 40 values.
+/// Approximate variance of the maximum of several standard normal values.
 [[nodiscard]] double variance_of_maximum(std::size_t count) noexcept {
-    return 1.0 / (1.0 + 0.75 * std::log(static_cast<double>(std::max<std::size_t>(1, count))));
+    return 1.0 / (1.0 + maximum_variance_fall * std::log(static_cast<double>(std::max<std::size_t>(1, count))));
 }
 
-/// Time until the last of several tasks ends.
+/// Distribution of the time until the last of several tasks ends.
 [[nodiscard]] log_normal last_end(double log_ms, double job_variance, double task_variance, std::size_t tasks) {
     return {log_ms + std::sqrt(task_variance) * mean_of_maximum(tasks), job_variance + task_variance * variance_of_maximum(tasks)};
 }
@@ -101,7 +108,7 @@
 }
 
 double job_forecast::chance_again(const run_time_sample &sample, duration left, double speed) const noexcept {
-    // The task's own run time: the job's mean, corrected by the sample as far as tasks differ more than the sample errs.
+    // The sample counts by how much tasks of one job differ, the job's mean by how much the sample errs.
     const auto weight = m_prior.task_variance / (m_prior.task_variance + sample.variance);
     const auto mean = m_log_ms + weight * (sample.log_ms - m_log_ms);
     const auto variance = (1.0 - weight) * (1.0 - weight) * m_variance + weight * sample.variance;
--- a/src/heathermoor/pool/job_forecast.hpp
+++ b/src/heathermoor/pool/job_forecast.hpp
@@ -11,7 +11,7 @@
 struct run_time_prediction {
     /// Logarithm of the median run time.
     double log_ms{};
-    /// Variance of a job's mean around the prediction, from rough estimates of callers.
+    /// Variance of a job's mean around the prediction.
     double job_variance{};
     /// Variance between the tasks of one job.
     double task_variance{};
@@ -27,8 +27,8 @@
 
 /// @brief Predicts when the tasks of one job end, from its queue's prediction and from what its own tasks have shown.
 ///
-/// A job ends with its last task. Each decision asks for the chance that this happens in time, so that one question does not get
-/// the answer to another: whether a target is good enough, whether a move pays, whether a job is hopeless.
+/// A job ends with its last task. The scheduler decides by the probability that this happens in time: whether a target is good
+/// enough, whether moving a run pays, whether to end a job early.
 class job_forecast {
   public:
     job_forecast() = default;
@@ -39,7 +39,8 @@
 
     /// @brief Adds what one task of the job has shown; it says much about the others.
     ///
-    /// The further the samples are from the prediction, the less that counts: a queue may have jobs of another kind.
+    /// The further the samples are from the prediction, the less the prediction counts: the job may be of another kind than
+    /// the others of its queue.
     /// @param sample Run time of the task; each task counts once.
     void observe(const run_time_sample &sample) noexcept;
 
--- a/src/heathermoor/pool/job_size.cpp
+++ b/src/heathermoor/pool/job_size.cpp
@@ -9,7 +9,7 @@
 /// Jobs of a queue that a new one is compared with.
 constexpr std::size_t ranking_window = 256;
 
-/// Jobs of a queue from which on the ranking says something.
+/// Minimum number of earlier jobs for a ranking.
 constexpr std::size_t min_ranked_jobs = 20;
 
 /// Shares of the recent jobs that bound the classes, counted from the largest.
--- a/src/heathermoor/pool/scheduler.hpp
+++ b/src/heathermoor/pool/scheduler.hpp
@@ -232,15 +232,16 @@
         bool ever_started{};
         /// Answered or cancelled; erased once none of its runs may be active.
         bool closing{};
-        /// When its tasks end, by the prediction on arrival and the samples of its slots.
+        /// When its tasks end, by `prediction` and the samples of its slots.
         job_forecast forecast;
+        /// Prediction on arrival.
         run_time_prediction prediction;
         /// Run time of a task on a target of mean speed, as predicted on arrival.
         duration predicted_run_time{};
         size_class size{size_class::rest};
         /// Runs moved to another target because of their pace.
         std::uint32_t moves{};
-        /// The last of its tasks has been ordered at least once.
+        /// All tasks have been ordered at least once.
         bool all_placed{};
         /// Submission that arrived while the job was closing; handled after that.
         std::optional<submission> next;
@@ -329,8 +330,11 @@
     void observe_run_time(open_job &job, task_slot &slot, duration elapsed, double speed);
     [[nodiscard]] task_slot *find_slot(open_job &job, const job::task_ref &task);
     [[nodiscard]] bool step_ready(const open_job &job, std::uint32_t step) const;
+    /// Prediction for the job's queue and estimate at present, whatever its own tasks have shown.
     [[nodiscard]] duration predicted_run(const open_job &job) const;
+    /// Computes the forecast from the prediction on arrival and the samples of all slots.
     static void refresh_forecast(open_job &job);
+    /// Number of tasks that have not ended as done.
     [[nodiscard]] static std::size_t unfinished(const open_job &job);
     [[nodiscard]] static duration objective(const open_job &job);
     /// Processor time of all tasks, in core-seconds, by the run time predicted on arrival.
@@ -346,7 +350,9 @@
     [[nodiscard]] double objective_speed(const open_job &job, time_point now) const;
     [[nodiscard]] double deadline_speed(const open_job &job, time_point now) const;
     [[nodiscard]] bool usable(const held_target &target, time_point now);
+    /// Usable, or about to be once a claim is answered.
     [[nodiscard]] bool available_soon(const held_target &target, time_point now);
+    /// Counts for refusals and for the fastest speed: available soon, or any target in scope that answers while claims settle.
     [[nodiscard]] bool counts_as_room(const held_target &target, time_point now);
     void update_settling(time_point now);
     [[nodiscard]] double task_capacity(const resources &need, const service_id &service, time_point now);
--- a/src/heathermoor/pool/scheduler_pace.cpp
+++ b/src/heathermoor/pool/scheduler_pace.cpp
@@ -24,15 +24,15 @@
 /// Minimum ratio of speeds for moving a run; a smaller one may be an error of the estimates.
 constexpr double worthwhile_speedup = 1.3;
 
-/// One target in so many is passed over as the fastest: of many estimates the highest ones are too high.
-constexpr std::size_t overestimated_part = 10;
+/// The fastest speed is the highest one after leaving out one target in so many: of many estimates the highest are too high.
+constexpr std::size_t targets_per_outlier = 10;
 
 /// Minimum gain in the chance of meeting the deadline for moving a run.
 constexpr double worthwhile_gain = 0.2;
 
-/// Standard deviation of a progress in whole percent, which is rounded down.
-constexpr double percent_deviation = 0.29;
+/// Mean and standard deviation of the part of a percent by which a reported progress is rounded down.
 constexpr double percent_mean = 0.5;
+constexpr double percent_deviation = 0.29;
 
 /// Chances are logged in percent.
 constexpr double per_cent = 100.0;
@@ -78,7 +78,7 @@
     if(speeds.empty()) {
         return 0;
     }
-    const auto nth = speeds.begin() + static_cast<std::ptrdiff_t>(speeds.size() / internal::overestimated_part);
+    const auto nth = speeds.begin() + static_cast<std::ptrdiff_t>(speeds.size() / internal::targets_per_outlier);
     std::nth_element(speeds.begin(), nth, speeds.end(), std::greater<>{});
     return *nth;
 }
@@ -113,7 +113,7 @@
                            std::vector<job_id> &unreachable) {
     const auto found = m_jobs.find(task.job);
     const auto elapsed = entry.progress_at - entry.ordered_at;
-    // The order of a run that was found here, and so its pace, is unknown.
+    // For a run that another scheduler ordered, the time of its order is unknown.
     if(found == m_jobs.end() || found->second.closing || entry.state != lease::run_state::running || !entry.ordered_here ||
        entry.percent < internal::min_percent || elapsed < internal::pace_time) {
         return;
@@ -149,8 +149,8 @@
                {"left_ms", job.deadline - now},
                {"speed", m_speeds.speed(target.entry.id)},
                {"fastest_speed", m_fastest},
-               {"percent_here", chances.here * internal::per_cent},
-               {"percent_moved", chances.moved * internal::per_cent}});
+               {"chance_here_percent", chances.here * internal::per_cent},
+               {"chance_moved_percent", chances.moved * internal::per_cent}});
 }
 
 void scheduler::end_unreachable_jobs(time_point now) {
--- a/src/heathermoor/pool/scheduler_placing.cpp
+++ b/src/heathermoor/pool/scheduler_placing.cpp
@@ -23,10 +23,10 @@
 /// Chance with which a target should meet the latency objective to be preferred.
 constexpr double objective_chance = 0.9;
 
-/// Chance of meeting the deadline that a job gives up at most by starting at once in place of waiting for a fast target.
+/// Largest loss in the chance of meeting the deadline for which a job starts on a slow target at once instead of waiting for a fast one.
 constexpr double tolerated_loss = 0.05;
 
-/// Chance of meeting the deadline from which a job is worth its place in the queue.
+/// Chance of meeting the deadline at the latest start of a job; a job that would start later is refused.
 constexpr double worthwhile_chance = 0.2;
 
 /// Expected wait for free capacity on a fast target under steady load.
@@ -290,7 +290,7 @@
         const auto work_ms = to_ms(job->forecast.typical()) * static_cast<double>(waiting) / places;
         const auto slack_ms = to_ms(latest_start(*job) - now) * internal::waiting_share;
         if(!job->ever_started && ahead_ms > std::max(0.0, slack_ms)) {
-            log_event(log_level::info, "pool", "job_hopeless",
+            log_event(log_level::info, "pool", "job_refused",
                       {{"job", job->job.id},
                        {"ahead_ms", ahead_ms},
                        {"slack_ms", slack_ms},
--- a/src/heathermoor/trace/explanation.cpp
+++ b/src/heathermoor/trace/explanation.cpp
@@ -143,9 +143,9 @@
         text += fmt::format("; task {} on {} was at {} % after {} ms, with {} ms left", slow->value("index"), slow->value("target"),
                             slow->value("percent"), slow->value("elapsed_ms"), slow->value("left_ms"));
     }
-    if(const auto *hopeless = latest(result, "job_hopeless")) {
-        text += fmt::format("; work ahead of it {} ms on {} places, slack {} ms", hopeless->value("ahead_ms"), hopeless->value("places"),
-                            hopeless->value("slack_ms"));
+    if(const auto *refused = latest(result, "job_refused")) {
+        text += fmt::format("; work ahead of it {} ms on {} places, slack {} ms", refused->value("ahead_ms"), refused->value("places"),
+                            refused->value("slack_ms"));
     }
     return text;
 }
