--- a/src/heathermoor/core/event.cpp
+++ b/src/heathermoor/core/event.cpp
@@ -1,6 +1,7 @@
 #include "heathermoor/core/event.hpp"
 
 #include <atomic>
+#include <cmath>
 #include <fmt/format.h>
 #include <iterator>
 
@@ -32,7 +33,8 @@
     } else if(const auto *number = std::get_if<std::int64_t>(&value)) {
         fmt::format_to(std::back_inserter(out), "{}", *number);
     } else if(const auto *real = std::get_if<double>(&value)) {
-        fmt::format_to(std::back_inserter(out), "{:.1f}", *real);
+        // JSON has no infinity and no NaN.
+        std::isfinite(*real) ? fmt::format_to(std::back_inserter(out), "{:.1f}", *real) : fmt::format_to(std::back_inserter(out), "null");
     } else {
         out += std::get<bool>(value) ? "true" : "false";
     }
--- a/src/heathermoor/core/event.hpp
+++ b/src/heathermoor/core/event.hpp
@@ -58,7 +58,7 @@
 
     /// @brief Creates a floating-point field.
     /// @param name Key, with the unit as a suffix if there is one; not copied.
-    /// @param value Written with one decimal.
+    /// @param value Written with one decimal; `null` if it is not finite.
     event_field(std::string_view name, double value) : m_name{name}, m_value{value} {}
 
     /// @brief Creates a floating-point field from a duration.
--- a/tests/support/workload.hpp
+++ b/tests/support/workload.hpp
@@ -68,10 +68,9 @@
 /// @brief Checks the users' rule that no group is served less than half as often as its whole kind.
 ///
 /// Groups are the largest tenth by work and the fifth below it, as the users count them: of all jobs, also those that no target could
-/// serve, but for a group that would break the rule even if its servable jobs were served as often as all servable jobs of the kind. Of the
-/// servable jobs, groups are the same by
-/// work, by number of tasks and by longest task, and the jobs of each failure domain and entry host. Groups of fewer than 20 jobs are left
-/// out.
+/// serve. A group is left out if it would break the rule even with its servable jobs served as often as all servable jobs of the
+/// kind. Of the servable jobs, groups are the same by work, by number of tasks and by longest task, and the jobs of each failure
+/// domain and entry host. Groups of fewer than 20 jobs are left out.
 /// @param jobs All jobs of a simulation.
 /// @return One line for each group that is served less.
 [[nodiscard]] std::vector<std::string> short_groups(const std::vector<job_record> &jobs);
