review/1: tasks run twice at the same time after a host was killed and soon back

The leader of the killed host's cell lets its jobs run on, as it takes the new process for the old one. The clients send the jobs again; at a host of another zone, and so of another cell, they are started a second time.

--- a/review/standin/scene.cpp
+++ b/review/standin/scene.cpp
@@ -117,13 +117,12 @@
 scene::scene(scene_options options, const std::filesystem::path &record)
     : m_options{options}, m_folder{internal::working_folder()}, m_record{record}, m_client{m_context, m_clock}, m_store{m_context},
       m_started{m_clock.now()} {
-    constexpr std::size_t domains = 3;
     std::vector<std::string> ips;
     for(std::size_t index = 0; index < m_options.hosts; ++index) {
         ips.push_back(fmt::format("127.0.0.{}", internal::first_ip + index));
         host_process host;
         host.ip = ips.back();
-        host.domain = fmt::format("zone-{}", index % domains);
+        host.domain = fmt::format("zone-{}", index % m_options.zones);
         m_hosts.push_back(std::move(host));
     }
     m_port = internal::free_ports(ips);
@@ -134,7 +133,7 @@
         worker_options one;
         one.id = fmt::format("i-7f3a91{:02x}", index);
         one.service = "huvo11a";
-        one.zone = fmt::format("zone-{}", index % domains);
+        one.zone = fmt::format("zone-{}", index % m_options.zones);
         one.machine = fmt::format("m-{}", index);
         one.labels = {"a", "r1-1"};
         if(m_options.separate_worker && index == 0) {
@@ -477,22 +476,23 @@
     return false;
 }
 
-std::optional<std::size_t> scene::leader() {
-    std::optional<std::size_t> result;
+std::vector<std::size_t> scene::leaders() {
+    std::vector<std::size_t> result;
     for(std::size_t host = 0; host < m_hosts.size(); ++host) {
         int status = 0;
         const auto page = fetch(fmt::format("{}:{}", m_hosts[host].ip, m_port + internal::metrics_offset), "/metrics", status);
-        if(page.find("\nheathermoor_leading 1") == std::string::npos) {
-            continue;
-        }
-        if(result) {
-            return std::nullopt;
+        if(page.find("\nheathermoor_leading 1") != std::string::npos) {
+            result.push_back(host);
         }
-        result = host;
     }
     return result;
 }
 
+std::optional<std::size_t> scene::leader() {
+    const auto all = leaders();
+    return all.size() == 1 ? std::optional{all.front()} : std::nullopt;
+}
+
 void scene::call(std::size_t host, const std::string &method, const std::string &id, const std::string &body, milliseconds deadline,
                  answer_handler handle) {
     heathermoor::adapter::http_call call;
--- a/review/standin/scene.hpp
+++ b/review/standin/scene.hpp
@@ -27,6 +27,8 @@
 struct scene_options {
     std::size_t hosts{6};
     std::size_t workers{6};
+    /// Zones over which hosts and workers are spread by turns.
+    std::size_t zones{3};
     /// Time limit of the only route, which the operator sets.
     milliseconds route_timeout{30'000};
     /// The workers are reached through proxies.
@@ -94,6 +96,15 @@
     /// @return Index; none if no host does, or several do.
     std::optional<std::size_t> leader();
 
+    /// @brief Finds all hosts whose metrics say that they lead.
+    /// @return Indexes.
+    std::vector<std::size_t> leaders();
+
+    /// @brief Zone of a host.
+    /// @param host Index of the host.
+    /// @return Name.
+    [[nodiscard]] const std::string &zone_of(std::size_t host) const { return m_hosts.at(host).domain; }
+
     /// @brief Starts the first worker as a process, again under the id and the address that it had.
     /// @param cpu Its processor capacity in this life.
     void start_worker(std::int64_t cpu);
