--- a/review/standin/front_proxy.cpp
+++ b/review/standin/front_proxy.cpp
@@ -4,9 +4,8 @@
 #include <asio/buffer.hpp>
 #include <asio/write.hpp>
 #include <fmt/format.h>
-#include <functional>
+#include <memory>
 #include <utility>
-#include <vector>
 
 namespace review {
 
@@ -23,17 +22,8 @@
 
 class front_proxy::channel : public std::enable_shared_from_this<channel> {
   public:
-    channel(asio::io_context &context, asio::ip::tcp::socket client, proxy_mode mode, bool held)
-        : m_client{std::move(client)}, m_host{context}, m_mode{mode}, m_held{held} {}
-
-    void hold_up(bool held) {
-        m_held = held;
-        if(!held) {
-            for(auto &resume: std::exchange(m_waiting, {})) {
-                resume();
-            }
-        }
-    }
+    channel(asio::io_context &context, asio::ip::tcp::socket client, proxy_mode mode)
+        : m_client{std::move(client)}, m_host{context}, m_mode{mode} {}
 
     void reset() {
         std::error_code ignored;
@@ -50,11 +40,6 @@
             m_client.async_read_some(asio::buffer(m_up), [self = shared_from_this()](std::error_code, std::size_t) { self->reset(); });
             return;
         }
-        when_free([self = shared_from_this(), host] { self->connect(host); });
-    }
-
-  private:
-    void connect(const asio::ip::tcp::endpoint &host) {
         m_host.async_connect(host, [self = shared_from_this()](std::error_code error) {
             if(error) {
                 self->reset();
@@ -68,17 +53,9 @@
         });
     }
 
+  private:
     using buffer = std::array<char, internal::buffer_bytes>;
 
-    /// Runs an action now, or as soon as bytes are no longer held up.
-    void when_free(std::function<void()> action) {
-        if(m_held) {
-            m_waiting.push_back(std::move(action));
-        } else {
-            action();
-        }
-    }
-
     void close() {
         std::error_code ignored;
         m_client.close(ignored);
@@ -87,18 +64,16 @@
 
     void forward(asio::ip::tcp::socket &from, asio::ip::tcp::socket &to, buffer &data) {
         from.async_read_some(asio::buffer(data), [self = shared_from_this(), &from, &to, &data](std::error_code error, std::size_t length) {
-            self->when_free([self, &from, &to, &data, error, length] {
-                if(error) {
+            if(error) {
+                self->close();
+                return;
+            }
+            asio::async_write(to, asio::buffer(data, length), [self, &from, &to, &data](std::error_code failure, std::size_t) {
+                if(failure) {
                     self->close();
                     return;
                 }
-                asio::async_write(to, asio::buffer(data, length), [self, &from, &to, &data](std::error_code failure, std::size_t) {
-                    if(failure) {
-                        self->close();
-                        return;
-                    }
-                    self->forward(from, to, data);
-                });
+                self->forward(from, to, data);
             });
         });
     }
@@ -106,8 +81,6 @@
     asio::ip::tcp::socket m_client;
     asio::ip::tcp::socket m_host;
     proxy_mode m_mode;
-    bool m_held;
-    std::vector<std::function<void()>> m_waiting;
     buffer m_up{};
     buffer m_down{};
 };
@@ -123,29 +96,9 @@
         if(error) {
             return;
         }
-        const auto opened = std::make_shared<channel>(m_context, std::move(client), m_mode, m_held);
-        m_channels.remove_if([](const auto &known) { return known.expired(); });
-        m_channels.push_back(opened);
-        opened->start(m_host);
+        std::make_shared<channel>(m_context, std::move(client), m_mode)->start(m_host);
         accept();
     });
 }
 
-void front_proxy::hold_up(bool held) {
-    m_held = held;
-    for(const auto &known: m_channels) {
-        if(const auto open = known.lock()) {
-            open->hold_up(held);
-        }
-    }
-}
-
-void front_proxy::reset_all() {
-    for(const auto &known: m_channels) {
-        if(const auto open = known.lock()) {
-            open->reset();
-        }
-    }
-}
-
 } // namespace review
--- a/review/standin/front_proxy.hpp
+++ b/review/standin/front_proxy.hpp
@@ -3,8 +3,6 @@
 #include <asio/io_context.hpp>
 #include <asio/ip/tcp.hpp>
 #include <cstdint>
-#include <list>
-#include <memory>
 #include <string>
 
 namespace review {
@@ -30,13 +28,6 @@
     /// @return Address in the form `ip:port`.
     [[nodiscard]] const std::string &address() const noexcept { return m_address; }
 
-    /// @brief Holds up all bytes in both directions, and new channels, or lets them pass again.
-    /// @param held Whether bytes are held up.
-    void hold_up(bool held);
-
-    /// @brief Resets all channels that are open.
-    void reset_all();
-
     /// @brief Sets the mode of channels that are opened from now on; open channels keep theirs.
     /// @param mode New mode.
     void set_mode(proxy_mode mode) noexcept { m_mode = mode; }
@@ -51,8 +42,6 @@
     asio::ip::tcp::endpoint m_host;
     std::string m_address;
     proxy_mode m_mode{proxy_mode::forward};
-    bool m_held{};
-    std::list<std::weak_ptr<channel>> m_channels;
 };
 
 } // namespace review
--- a/review/standin/scene.cpp
+++ b/review/standin/scene.cpp
@@ -85,28 +85,6 @@
     (void)::close_range(STDERR_FILENO + 1, ~0U, 0);
 }
 
-/// Serves one life of a worker and writes its entries and runs to standard output; returns never.
-[[noreturn]] void run_worker(const worker_options &options) {
-    asio::io_context context{1};
-    const auto send = [](const json &message) {
-        const auto line = message.dump() + "\n";
-        (void)!::write(STDOUT_FILENO, line.data(), line.size());
-    };
-    worker served{context, options, [&send](const run_event &event) {
-                      send({{"task", event.task}, {"run", event.run}, {"ended", event.ended}, {"cpu", event.cpu_in_use}});
-                  }};
-    auto next_entry = std::chrono::steady_clock::now();
-    while(true) {
-        if(std::chrono::steady_clock::now() >= next_entry) {
-            next_entry += heartbeat_interval;
-            send({{"entry", json::parse(served.entry(options.listen))}});
-        }
-        context.run_for(step_interval);
-        context.restart();
-        served.advance();
-    }
-}
-
 } // namespace internal
 
 bool trouble() {
@@ -136,19 +114,7 @@
         one.zone = fmt::format("zone-{}", index % m_options.zones);
         one.machine = fmt::format("m-{}", index);
         one.labels = {"a", "r1-1"};
-        if(m_options.separate_worker && index == 0) {
-            asio::ip::tcp::acceptor probe{m_context, {asio::ip::address_v4::loopback(), 0}};
-            one.listen = fmt::format("127.0.0.1:{}", probe.local_endpoint().port());
-            m_separate = one;
-            continue;
-        }
         m_workers.push_back(std::make_unique<worker>(m_context, one, [this](const run_event &event) { run_changed(event); }));
-        if(m_options.worker_proxies) {
-            m_links.push_back(std::make_unique<front_proxy>(m_context, m_workers.back()->options().listen));
-        }
-    }
-    if(m_options.separate_worker) {
-        start_worker(m_separate.cpu);
     }
     send_heartbeats();
     write_config();
@@ -159,7 +125,6 @@
 }
 
 scene::~scene() {
-    kill_worker();
     for(const auto &host: m_hosts) {
         if(host.pid > 0) {
             (void)::kill(host.pid, SIGKILL);
@@ -261,18 +226,6 @@
     }
 }
 
-bool scene::running(std::size_t host) {
-    auto &process = m_hosts.at(host);
-    int status = 0;
-    if(process.pid > 0 && ::waitpid(process.pid, &status, WNOHANG) == process.pid) {
-        note(fmt::format("the process of host {} has ended: exit status {}, signal {}", host, WIFEXITED(status) ? WEXITSTATUS(status) : -1,
-                         WIFSIGNALED(status) ? WTERMSIG(status) : 0));
-        process.pid = 0;
-        write_settings(host, false);
-    }
-    return process.pid > 0;
-}
-
 void scene::start_host(std::size_t host) {
     const auto settings = "HEATHERMOOR_CONFIG=" + (m_folder / fmt::format("host-{}.json", host)).string();
     const auto log = (m_folder / fmt::format("host-{}.log", host)).string();
@@ -305,110 +258,27 @@
 }
 
 void scene::send_heartbeats() {
-    for(std::size_t index = 0; index < m_workers.size(); ++index) {
-        const auto &one = *m_workers[index];
-        m_store.put("keyed.servers", one.options().id,
-                    m_workers[index]->entry(m_links.empty() ? one.options().listen : m_links[index]->address()));
+    for(const auto &one: m_workers) {
+        m_store.put("keyed.servers", one->options().id, one->entry());
     }
     m_next_heartbeat = m_clock.now() + internal::heartbeat_interval;
 }
 
 void scene::run_changed(const run_event &event) {
     if(event.ended.empty()) {
-        m_runs.push_back({event.task, event.run, event.worker, now(), std::nullopt, {}});
+        m_runs.push_back({event.task, event.run, event.worker, now(), std::nullopt});
         note_detail(fmt::format("worker {}: run {} of task {} has started", event.worker, event.run, event.task));
         return;
     }
     for(auto &run: m_runs) {
         if(!run.ended && run.task == event.task && run.number == event.run && run.worker == event.worker) {
             run.ended = now();
-            run.how = event.ended;
         }
     }
     note_detail(fmt::format("worker {}: run {} of task {} has ended: {}", event.worker, event.run, event.task, event.ended));
 }
 
-void scene::start_worker(std::int64_t cpu) {
-    m_separate.cpu = cpu;
-    m_most_cpu = 0;
-    std::array<int, 2> ends{};
-    if(::pipe(ends.data()) != 0) {
-        throw std::system_error{errno, std::generic_category(), "pipe"};
-    }
-    const auto parent = ::getpid();
-    const auto pid = ::fork();
-    if(pid < 0) {
-        throw std::system_error{errno, std::generic_category(), "fork"};
-    }
-    if(pid == 0) {
-        (void)::prctl(PR_SET_PDEATHSIG, SIGKILL);
-        if(::getppid() != parent || ::dup2(ends[1], STDOUT_FILENO) < 0) {
-            ::_exit(not_run);
-        }
-        internal::close_inherited();
-        internal::run_worker(m_separate);
-    }
-    (void)::close(ends[1]);
-    (void)::fcntl(ends[0], F_SETFL, O_NONBLOCK);
-    m_worker_pid = pid;
-    m_worker_pipe = ends[0];
-    m_worker_text.clear();
-    note(fmt::format("worker {} starts with a capacity of {} thousandths of a core", m_separate.id, cpu));
-}
-
-void scene::kill_worker() {
-    if(m_worker_pid <= 0) {
-        return;
-    }
-    (void)::kill(m_worker_pid, SIGKILL);
-    (void)::waitpid(m_worker_pid, nullptr, 0);
-    (void)::close(m_worker_pipe);
-    m_worker_pid = 0;
-    m_worker_pipe = -1;
-    for(auto &run: m_runs) {
-        if(!run.ended && run.worker == m_separate.id) {
-            run.ended = now();
-        }
-    }
-    note(fmt::format("worker {} is killed", m_separate.id));
-}
-
-void scene::read_worker() {
-    constexpr std::size_t size = 4'096;
-    std::array<char, size> data{};
-    while(m_worker_pipe >= 0) {
-        const auto length = ::read(m_worker_pipe, data.data(), data.size());
-        if(length <= 0) {
-            return;
-        }
-        m_worker_text.append(data.data(), static_cast<std::size_t>(length));
-        for(auto end = m_worker_text.find('\n'); end != std::string::npos; end = m_worker_text.find('\n')) {
-            const auto line = m_worker_text.substr(0, end);
-            m_worker_text.erase(0, end + 1);
-            handle_worker_line(line);
-        }
-    }
-}
-
-void scene::handle_worker_line(const std::string &line) {
-    const auto message = internal::json::parse(line);
-    if(message.contains("entry")) {
-        m_store.put("keyed.servers", m_separate.id, message["entry"].dump());
-        return;
-    }
-    const run_event event{m_separate.id, message["task"], message["run"], message["ended"], message["cpu"]};
-    if(event.ended.empty()) {
-        m_most_cpu = std::max(m_most_cpu, event.cpu_in_use);
-        if(event.cpu_in_use > m_separate.cpu) {
-            note(fmt::format("BROKEN: worker {} with a capacity of {} has runs that need {} after the start of task {}", m_separate.id,
-                             m_separate.cpu, event.cpu_in_use, event.task));
-        }
-    }
-    run_changed(event);
-}
-
 void scene::step() {
-    read_worker();
     m_context.run_for(internal::step_interval);
     m_context.restart();
     m_client.expire();
--- a/review/standin/scene.hpp
+++ b/review/standin/scene.hpp
@@ -31,10 +31,6 @@
     std::size_t zones{3};
     /// Time limit of the only route, which the operator sets.
     milliseconds route_timeout{30'000};
-    /// The workers are reached through proxies.
-    bool worker_proxies{};
-    /// The first worker is a process of its own, which can be killed and started again.
-    bool separate_worker{};
 };
 
 /// @brief Run of a task, as the workers see it.
@@ -46,8 +42,6 @@
     milliseconds started{};
     /// Time since the start of the scene; none while it runs.
     std::optional<milliseconds> ended;
-    /// How it ended; empty while it runs, and for a worker that was killed.
-    std::string how;
 };
 
 /// @brief Answer to a client's call.
@@ -105,17 +99,6 @@
     /// @return Name.
     [[nodiscard]] const std::string &zone_of(std::size_t host) const { return m_hosts.at(host).domain; }
 
-    /// @brief Starts the first worker as a process, again under the id and the address that it had.
-    /// @param cpu Its processor capacity in this life.
-    void start_worker(std::int64_t cpu);
-
-    /// @brief Kills the process of the first worker with SIGKILL.
-    void kill_worker();
-
-    /// @brief Largest processor need of all runs on the first worker after any start of its present life.
-    /// @return Thousandths of a core.
-    [[nodiscard]] std::int64_t most_cpu_in_use() const noexcept { return m_most_cpu; }
-
     /// @brief Kills the process of a host with SIGKILL.
     /// @param host Index of the host.
     void kill_host(std::size_t host);
@@ -156,20 +139,6 @@
     /// @return Proxy owned by the scene.
     [[nodiscard]] front_proxy &front(std::size_t host) { return *m_hosts.at(host).front; }
 
-    /// @brief Stand-in for the links of a worker; only with `worker_proxies`.
-    /// @param index Index of the worker.
-    /// @return Proxy owned by the scene.
-    [[nodiscard]] front_proxy &worker_link(std::size_t index) { return *m_links.at(index); }
-
-    /// @brief All runs that workers have started.
-    /// @return Runs by time of their start.
-    [[nodiscard]] const std::vector<seen_run> &runs() const noexcept { return m_runs; }
-
-    /// @brief Whether the process of a host has not ended by itself or by a signal.
-    /// @param host Index of the host.
-    /// @return False once it has ended, until it is started again.
-    [[nodiscard]] bool running(std::size_t host);
-
     /// @brief Writes a line with the time to the record and to standard output.
     /// @param text Line.
     void note(const std::string &text);
@@ -193,8 +162,6 @@
     /// Writes a line with the time to the record only.
     void note_detail(const std::string &text);
     void run_changed(const run_event &event);
-    void read_worker();
-    void handle_worker_line(const std::string &line);
     void send_heartbeats();
     [[nodiscard]] std::string fetch(const std::string &address, const std::string &path, int &status);
 
@@ -206,13 +173,7 @@
     heathermoor::adapter::http_client m_client;
     heathermoor::platform::standin::store m_store;
     std::vector<std::unique_ptr<worker>> m_workers;
-    std::vector<std::unique_ptr<front_proxy>> m_links;
     std::vector<host_process> m_hosts;
-    worker_options m_separate;
-    ::pid_t m_worker_pid{};
-    int m_worker_pipe{-1};
-    std::string m_worker_text;
-    std::int64_t m_most_cpu{};
     std::vector<seen_run> m_runs;
     std::uint16_t m_port{};
     std::uint64_t m_next_lane{};
--- a/review/standin/worker.cpp
+++ b/review/standin/worker.cpp
@@ -69,10 +69,10 @@
     return sum;
 }
 
-std::string worker::entry(const std::string &address) {
+std::string worker::entry() {
     ++m_reports;
     return internal::json{{"service", m_options.service},
-                          {"address", address},
+                          {"address", m_options.listen},
                           {"zone", m_options.zone},
                           {"machine", m_options.machine},
                           {"version", "v1"},
--- a/review/standin/worker.hpp
+++ b/review/standin/worker.hpp
@@ -55,9 +55,8 @@
     void advance();
 
     /// @brief Entry for the platform's store; each call counts as a further status report.
-    /// @param address Address at which the worker is reached.
     /// @return JSON text.
-    [[nodiscard]] std::string entry(const std::string &address);
+    [[nodiscard]] std::string entry();
 
     /// @brief Identity and capacity.
     /// @return Options as given, with the address that it listens on.
