Tell the present leader that an earlier one has ended a job

Callers saw nothing; targets ran a job again that had been answered. A gateway passes its job to leader B while leader A still runs it. A's final answer is accepted, but B was not told: it kept the job until its deadline and started it when it could.

The gateway now cancels the job at the present leader when an earlier one has ended it.

Test: "The present leader learns that an earlier one has ended a job"; without the change it fails (the second leader is told nothing), with it it passes.

--- a/src/heathermoor/gateway/gateway.cpp
+++ b/src/heathermoor/gateway/gateway.cpp
@@ -118,6 +118,10 @@
     if(!final && !current) {
         return;
     }
+    if(!current && m_leader && entry->second.submitted) {
+        // Otherwise the present leader would not learn that the job has ended, and run it again.
+        m_schedulers.cancel(*m_leader, id);
+    }
     const bool uncertain = answer.result == job::outcome::refused && entry->second.resubmitted;
     end(id, uncertain ? job::answer{job::outcome::unknown, errc::leader_lost, {}} : answer, now);
 }
--- a/tests/gateway/gateway.cpp
+++ b/tests/gateway/gateway.cpp
@@ -12,11 +12,12 @@
 struct recorded_ports final : gateway::caller_port, gateway::scheduler_port {
     void reply(gateway::request_token, const job_id &, const job::answer &answer) override { answers.push_back(answer); }
     void submit(const gateway::leader_ref &, pool::submission work) override { handed.push_back(std::move(work)); }
-    void cancel(const gateway::leader_ref &, const job_id &) override {}
+    void cancel(const gateway::leader_ref &leader, const job_id &) override { cancelled_at.push_back(leader); }
     void query(const gateway::leader_ref &, const std::vector<job_id> &) override {}
 
     std::vector<job::answer> answers;
     std::vector<pool::submission> handed;
+    std::vector<gateway::leader_ref> cancelled_at;
 };
 
 } // namespace
@@ -140,3 +141,39 @@
         }
     }
 }
+
+// Guards against a second run of a job that has been answered: the leader before had ended it, and the present one did not
+// learn of that (walk seeds 141, 197, 207, 252, 293 and 319).
+SCENARIO("The present leader learns that an earlier one has ended a job", "[gateway]") {
+    set_log_level(log_level::error);
+    recorded_ports out;
+    const time_point started{seconds{500}};
+    const gateway::leader_ref first{host_id{"b"}, leader_term{1}};
+    const gateway::leader_ref second{host_id{"c"}, leader_term{2}};
+    gateway::gateway gateway{host_id{"a"}, out, out, started};
+    gateway.set_leader(first, started, started);
+    job::definition job;
+    job.id = job_id{"00000000000000aa"};
+    job.steps.push_back({1, {1'000, 1, 0}, milliseconds{50}, {}, {}, {}, 0});
+    gateway.submit(gateway::request_token{1}, job, {}, milliseconds{1'500}, started);
+    const job::answer completed{job::outcome::completed, errc::ok, {}};
+
+    GIVEN("a job that was passed to a second leader") {
+        gateway.set_leader(second, started, started + milliseconds{100});
+        REQUIRE(out.handed.size() == 2);
+        WHEN("the first leader completes it") {
+            gateway.answered(first, job.id, completed, started + milliseconds{150});
+            THEN("the caller gets the answer, and the second leader is told to end the job") {
+                CHECK(out.answers.size() == 1);
+                CHECK(out.cancelled_at == std::vector{second});
+            }
+        }
+        WHEN("the second leader completes it") {
+            gateway.answered(second, job.id, completed, started + milliseconds{150});
+            THEN("nobody has to be told") {
+                CHECK(out.answers.size() == 1);
+                CHECK(out.cancelled_at.empty());
+            }
+        }
+    }
+}
