--- a/bench/scheduler/main.cpp
+++ b/bench/scheduler/main.cpp
@@ -41,7 +41,7 @@
     void stop(const pool::stop_order &) override {}
     void report(const pool::report_order &order) override { m_reports.push_back(order); }
     void release(const target_id &) override {}
-    void answer(const host_id &, const job_id &, const job::answer &) override {}
+    void answer(const pool::gateway_ref &, const job_id &, const job::answer &) override {}
 
     void fill_queue(std::int64_t length) {
         for(std::int64_t count = 0; count < length; ++count) {
@@ -58,7 +58,7 @@
         work.queue.priority = static_cast<std::uint32_t>(m_next_job % 3);
         work.queue.stretch = 1.6;
         work.queue.target_latency = milliseconds{60};
-        work.from = host_id{"gateway"};
+        work.from = {{host_id{"gateway"}, incarnation{1}}, gateway_session{1}};
         work.remaining = seconds{100};
         m_subject.submit(std::move(work), m_now);
         m_subject.place(m_now);
@@ -83,7 +83,7 @@
 
     void tick() {
         m_now += milliseconds{1};
-        m_subject.confirm_host(host_id{"gateway"}, m_now + seconds{1});
+        m_subject.confirm_gateway({{host_id{"gateway"}, incarnation{1}}, gateway_session{1}}, m_now + seconds{1});
         m_subject.tick(m_now, milliseconds{1'000'000});
     }
 
--- a/src/heathermoor/core/id.hpp
+++ b/src/heathermoor/core/id.hpp
@@ -51,6 +51,18 @@
 /// @brief Distinguishes successive processes that run under the same host name.
 enum class incarnation : std::uint64_t {};
 
+/// @brief One process of a host. The next process takes over the name of the host, but nothing else.
+struct process_ref {
+    host_id host;
+    incarnation process{};
+
+    // NOLINTNEXTLINE(modernize-use-nullptr): false positive on the defaulted comparison
+    friend auto operator<=>(const process_ref &, const process_ref &) = default;
+};
+
+/// @brief Number of a gateway's session with a leader; rises within a process with each change of leader, also back to an earlier one.
+enum class gateway_session : std::uint64_t {};
+
 /// @brief Ownership epoch of a partition: the log offset of the record that claimed it.
 enum class epoch : std::uint64_t {};
 
--- a/src/heathermoor/gateway/gateway.cpp
+++ b/src/heathermoor/gateway/gateway.cpp
@@ -64,7 +64,7 @@
     job.last_query_at = now;
     work.job = job.job;
     work.queue = job.queue;
-    work.from = m_self;
+    work.from = self();
     work.age = now - job.arrived;
     work.remaining = job.deadline - now;
     work.earlier_runs_end_in = std::max(duration::zero(), job.earlier_runs_end_at - now);
@@ -108,13 +108,13 @@
     return true;
 }
 
-void gateway::answered(const leader_ref &from, const job_id &id, const job::answer &answer, time_point now) {
+void gateway::answered(const answer_origin &from, const job_id &id, const job::answer &answer, time_point now) {
     const auto entry = m_jobs.find(id);
     if(entry == m_jobs.end()) {
         return;
     }
     const bool final = job::is_final(answer.result);
-    const bool current = m_leader && *m_leader == from;
+    const bool current = is_current(from);
     if(!final && !current) {
         return;
     }
@@ -126,9 +126,9 @@
     end(id, uncertain ? job::answer{job::outcome::unknown, errc::leader_lost, {}} : answer, now);
 }
 
-void gateway::not_known(const leader_ref &from, const job_id &id, time_point now) {
+void gateway::not_known(const answer_origin &from, const job_id &id, time_point now) {
     const auto entry = m_jobs.find(id);
-    if(entry != m_jobs.end() && m_leader && *m_leader == from) {
+    if(entry != m_jobs.end() && is_current(from)) {
         submit_to_leader(entry->second, now);
     }
 }
@@ -149,6 +149,7 @@
         }
     }
     m_leader = leader;
+    m_session = gateway_session{raw(m_session) + 1};
     if(!m_leader) {
         return;
     }
--- a/src/heathermoor/gateway/gateway.hpp
+++ b/src/heathermoor/gateway/gateway.hpp
@@ -24,6 +24,12 @@
     friend bool operator==(const leader_ref &, const leader_ref &) = default;
 };
 
+/// @brief Leader that sent an answer, and the gateway's session in which it had the job.
+struct answer_origin {
+    leader_ref leader;
+    gateway_session session{};
+};
+
 /// @brief Sends answers to callers.
 class caller_port : public interface {
   public:
@@ -69,11 +75,11 @@
 class gateway {
   public:
     /// @brief Creates a gateway without jobs.
-    /// @param self Id of the own host.
+    /// @param self Process of the gateway.
     /// @param callers Port for answers.
     /// @param schedulers Port to the scheduler.
     /// @param now Reading of the monotonic clock.
-    gateway(host_id self, caller_port &callers, scheduler_port &schedulers, time_point now)
+    gateway(process_ref self, caller_port &callers, scheduler_port &schedulers, time_point now)
         : m_self{std::move(self)}, m_callers{callers}, m_schedulers{schedulers}, m_leaderless_since{now} {}
 
     /// @brief Accepts a job from a caller.
@@ -95,18 +101,18 @@
     /// @return False if the job is not open on this host.
     bool cancel(const job_id &id, time_point now);
 
-    /// @brief Handles a scheduler's answer; one that is not final counts only if it is the current leader's.
-    /// @param from Host and term of the sender.
+    /// @brief Handles a scheduler's answer; one that is not final counts only in the session for which it was given.
+    /// @param from Sender, and the session in which it had the job.
     /// @param id Id of the job.
     /// @param answer Outcome as received.
     /// @param now Reading of the monotonic clock.
-    void answered(const leader_ref &from, const job_id &id, const job::answer &answer, time_point now);
+    void answered(const answer_origin &from, const job_id &id, const job::answer &answer, time_point now);
 
     /// @brief Handles the notice that the scheduler has no record of a job, and submits it again.
-    /// @param from Host and term of the sender.
+    /// @param from Sender, and the session in which it was asked.
     /// @param id Id of the job.
     /// @param now Reading of the monotonic clock.
-    void not_known(const leader_ref &from, const job_id &id, time_point now);
+    void not_known(const answer_origin &from, const job_id &id, time_point now);
 
     /// @brief Changes the leader; submits all open jobs to the new one.
     /// @param leader New leader; none if there is no leader.
@@ -118,6 +124,10 @@
     /// @param now Reading of the monotonic clock.
     void tick(time_point now);
 
+    /// @brief This gateway as its leader knows it.
+    /// @return Own process, and the session with the leader that was set last.
+    [[nodiscard]] pool::gateway_ref self() const { return {m_self, m_session}; }
+
     /// @brief Whether a job is open on this host.
     /// @param id Id of the job.
     /// @return True until the job is answered.
@@ -163,12 +173,17 @@
     };
 
     void submit_to_leader(open_job &job, time_point now);
+    /// Whether an answer was given in the present session with the leader.
+    [[nodiscard]] bool is_current(const answer_origin &from) const {
+        return m_leader && *m_leader == from.leader && m_session == from.session;
+    }
     void end(const job_id &id, const job::answer &answer, time_point now);
 
-    host_id m_self;
+    process_ref m_self;
     caller_port &m_callers;
     scheduler_port &m_schedulers;
     std::optional<leader_ref> m_leader;
+    gateway_session m_session{};
     time_point m_leaderless_since;
     std::unordered_map<job_id, open_job> m_jobs;
     std::unordered_map<request_token, job_id> m_requests;
--- a/src/heathermoor/heathermoor.hpp
+++ b/src/heathermoor/heathermoor.hpp
@@ -23,6 +23,7 @@
 #include "heathermoor/config/policy.hpp"
 #include "heathermoor/confirmation/confirmation_monitor.hpp"
 #include "heathermoor/contact/peer_directory.hpp"
+#include "heathermoor/contact/process_history.hpp"
 #include "heathermoor/core/error.hpp"
 #include "heathermoor/core/event.hpp"
 #include "heathermoor/core/hash.hpp"
--- a/src/heathermoor/member/convert.cpp
+++ b/src/heathermoor/member/convert.cpp
@@ -118,7 +118,7 @@
     return message;
 }
 
-std::optional<pool::submission> from_wire(const wire::pool_submit &message, host_id from) {
+std::optional<pool::submission> from_wire(const wire::pool_submit &message, pool::gateway_ref from) {
     if(!internal::valid(message)) {
         return std::nullopt;
     }
--- a/src/heathermoor/member/convert.hpp
+++ b/src/heathermoor/member/convert.hpp
@@ -17,9 +17,9 @@
 
 /// @brief Converts a wire message to a submission.
 /// @param message Message as received.
-/// @param from Gateway host that sent it, and that gets the answer.
+/// @param from Gateway that sent it, and that gets the answer.
 /// @return Submission; none if the job has no task, too many of them, a step that follows no earlier one, or values out of range.
-[[nodiscard]] std::optional<pool::submission> from_wire(const wire::pool_submit &message, host_id from);
+[[nodiscard]] std::optional<pool::submission> from_wire(const wire::pool_submit &message, pool::gateway_ref from);
 
 /// @brief Converts a configuration to its wire message.
 /// @param config Complete configuration version.
--- a/src/heathermoor/member/member.cpp
+++ b/src/heathermoor/member/member.cpp
@@ -56,7 +56,7 @@
 
 member::member(settings options, ports out)
     : m_settings{std::move(options)}, m_ports{out},
-      m_election{internal::own_state(m_settings), out.clock.now()}, m_gateway{m_settings.self, out.callers, *this, out.clock.now()},
+      m_election{internal::own_state(m_settings), out.clock.now()}, m_gateway{self(), out.callers, *this, out.clock.now()},
       m_contacts{m_settings.self, m_settings.domain, out.peers}, m_cell{m_cells.of(m_settings.domain, m_settings.self)},
       m_scheduler{out.orders, *this, lease::token_source{hash64(m_settings.self.str())}} {
     m_election.take_part(false);
@@ -355,7 +355,7 @@
     probe_remote_targets(at);
     m_gateway.tick(at);
     if(m_leading) {
-        m_scheduler.confirm_host(m_settings.self, at + lease::host_confirmation_time);
+        m_scheduler.confirm_gateway(m_gateway.self(), at + lease::host_confirmation_time);
         const metrics::work_meter::span work{m_ports.work, metrics::work_part::holding};
         m_scheduler.tick(at, m_ports.clock.unix_now());
         send_statistics(at);
--- a/src/heathermoor/member/member.hpp
+++ b/src/heathermoor/member/member.hpp
@@ -4,6 +4,7 @@
 #include "heathermoor/cell/cell_plan.hpp"
 #include "heathermoor/confirmation/confirmation_monitor.hpp"
 #include "heathermoor/contact/peer_directory.hpp"
+#include "heathermoor/contact/process_history.hpp"
 #include "heathermoor/election/leader_election.hpp"
 #include "heathermoor/gateway/gateway.hpp"
 #include "heathermoor/metrics/work_meter.hpp"
@@ -121,7 +122,8 @@
     /// @param domain Failure domain of the host; empty if unknown.
     void add_host(const host_id &host, const failure_domain_id &domain = {}) { m_contacts.add_host(host, domain); }
 
-    /// @brief Handles a message from another host; drops it if it is meant for another process of this host.
+    /// @brief Handles a message from another host; drops it if it is meant for another process of this host, or sent by one that
+    /// has been replaced.
     /// @param message Message as received.
     void received(const wire::envelope &message);
 
@@ -213,7 +215,7 @@
     /// @return Count, on a follower up to two heartbeats old.
     [[nodiscard]] std::uint32_t waiting(const queue_id &queue) const;
 
-    void answer(const host_id &to, const job_id &job, const job::answer &answer) override;
+    void answer(const pool::gateway_ref &to, const job_id &job, const job::answer &answer) override;
     void submit(const gateway::leader_ref &leader, pool::submission work) override;
     void cancel(const gateway::leader_ref &leader, const job_id &id) override;
     void query(const gateway::leader_ref &leader, const std::vector<job_id> &ids) override;
@@ -222,8 +224,6 @@
     /// @brief Latest heartbeat data of another host.
     struct peer_record {
         incarnation process{};
-        /// Earlier processes of the host, latest last; their messages may still arrive.
-        std::deque<incarnation> replaced_processes;
         time_point heard_at{};
         failure_domain_id domain;
         /// Number of targets in the host's failure domain, recently dropped ones included.
@@ -237,6 +237,9 @@
     };
 
     [[nodiscard]] time_point now() const { return m_ports.clock.now(); }
+    [[nodiscard]] process_ref self() const { return {m_settings.self, m_settings.process}; }
+    /// Gateway that sent a message.
+    [[nodiscard]] static pool::gateway_ref gateway_of(const wire::envelope &message);
     void send(const host_id &to, wire::envelope message);
     void send_heartbeats(time_point now);
     void fill_heartbeat(wire::pool_heartbeat &beat);
@@ -253,9 +256,7 @@
     /// Time on this host's clock that a message echoes; never in the future, so that nothing counts as confirmed for longer.
     [[nodiscard]] time_point echoed_at(const wire::envelope &message) const;
     void handle_heartbeat(const wire::envelope &message);
-    /// Whether a message of a known host is older than what it sent last, or from a process that has been replaced.
-    [[nodiscard]] static bool outdated(const peer_record &peer, const wire::envelope &message);
-    static void replace_process(peer_record &peer, incarnation process);
+    void handle_departure(const process_ref &sender);
     void handle_cell_heartbeat(const wire::envelope &message, bool stepped_down);
     void handle_submit(const wire::envelope &message);
     void handle_query(const wire::envelope &message);
@@ -284,6 +285,7 @@
     election::leader_election m_election;
     gateway::gateway m_gateway;
     contact::peer_directory m_contacts;
+    contact::process_history m_processes;
     cell::cell_plan m_cells;
     /// Cell that this host belongs to.
     cell::cell_id m_cell;
--- a/src/heathermoor/member/member_messages.cpp
+++ b/src/heathermoor/member/member_messages.cpp
@@ -28,13 +28,14 @@
 /// Most targets of one failure domain; a heartbeat that reports more is malformed, and its number ignored.
 constexpr std::uint32_t max_domain_targets = 100'000;
 
-/// Earlier processes of a host whose late messages are recognised.
-constexpr std::size_t remembered_processes = 4;
-
 [[nodiscard]] std::int64_t to_us(time_point at) noexcept {
     return at.time_since_epoch().count();
 }
 
+[[nodiscard]] process_ref sender_of(const wire::envelope &message) {
+    return {host_id{message.from()}, incarnation{message.incarnation()}};
+}
+
 [[nodiscard]] metrics::work_part work_part_of(const wire::envelope &message) noexcept {
     switch(message.body_case()) {
     case wire::envelope::kPoolBeat:
@@ -55,14 +56,20 @@
     message.set_incarnation(raw(m_settings.process));
     message.set_domain(m_settings.domain.str());
     message.set_sent_us(internal::to_us(now()));
+    message.set_session(raw(m_gateway.self().session));
     if(to == m_settings.self) {
         m_inbox.push_back(std::move(message));
         return;
     }
     const auto peer = m_peers.find(to);
     if(peer != m_peers.end()) {
-        message.set_echo_us(peer->second.last_sent_us);
-        message.set_to_incarnation(raw(peer->second.process));
+        const auto process = raw(peer->second.process);
+        if(message.to_incarnation() == 0) {
+            message.set_to_incarnation(process);
+        }
+        if(message.to_incarnation() == process) {
+            message.set_echo_us(peer->second.last_sent_us);
+        }
     }
     m_ports.peers.send(to, std::move(message));
 }
@@ -107,6 +114,15 @@
 
 void member::handle(const wire::envelope &message) {
     const metrics::work_meter::span work{m_ports.work, internal::work_part_of(message)};
+    const auto sender = internal::sender_of(message);
+    if(message.pool_beat().leaving()) {
+        handle_departure(sender);
+        return;
+    }
+    if(!m_processes.accept(sender, now())) {
+        log_event(log_level::info, "member", "sender_replaced", {{"from", sender.host}, {"process", sender.process}});
+        return;
+    }
     switch(message.body_case()) {
     case wire::envelope::kPoolBeat:
         handle_heartbeat(message);
@@ -116,7 +132,7 @@
         break;
     case wire::envelope::kPoolCancelled:
         if(m_leading && message.pool_cancelled().term() == raw(m_term)) {
-            m_scheduler.cancel(host_id{message.from()}, job_id{message.pool_cancelled().id()}, now());
+            m_scheduler.cancel(gateway_of(message), job_id{message.pool_cancelled().id()}, now());
         }
         break;
     case wire::envelope::kPoolAsked:
@@ -149,20 +165,15 @@
     const auto at = now();
     const host_id from{message.from()};
     const auto &beat = message.pool_beat();
-    if(beat.leaving()) {
-        m_election.host_left(from);
-        m_contacts.host_left(from);
-        m_peers.erase(from);
-        return;
-    }
     if(message.echo_us() != 0) {
         m_oldest_echo = std::max(m_oldest_echo, at - echoed_at(message));
     }
     auto &peer = m_peers[from];
-    if(outdated(peer, message)) {
+    const incarnation process{message.incarnation()};
+    if(process == peer.process && message.sent_us() < peer.last_sent_us) {
         return;
     }
-    replace_process(peer, incarnation{message.incarnation()});
+    peer.process = process;
     peer.last_sent_us = message.sent_us();
     peer.term = leader_term{beat.term()};
     peer.config_version = beat.config_version();
@@ -187,24 +198,13 @@
     }
 }
 
-bool member::outdated(const peer_record &peer, const wire::envelope &message) {
-    const incarnation process{message.incarnation()};
-    const auto &replaced = peer.replaced_processes;
-    const bool by_earlier_process = std::find(replaced.begin(), replaced.end(), process) != replaced.end();
-    return by_earlier_process || (process == peer.process && message.sent_us() < peer.last_sent_us);
-}
-
-void member::replace_process(peer_record &peer, incarnation process) {
-    if(process == peer.process) {
+void member::handle_departure(const process_ref &sender) {
+    if(!m_processes.left(sender, now())) {
         return;
     }
-    if(peer.process != incarnation{}) {
-        peer.replaced_processes.push_back(peer.process);
-    }
-    if(peer.replaced_processes.size() > internal::remembered_processes) {
-        peer.replaced_processes.pop_front();
-    }
-    peer.process = process;
+    m_election.host_left(sender.host);
+    m_contacts.host_left(sender.host);
+    m_peers.erase(sender.host);
 }
 
 void member::take_confirmations(const wire::envelope &message) {
@@ -269,7 +269,7 @@
         }
     }
     if(m_leading && beat.follows() == m_settings.self.str() && beat.follows_term() == raw(m_term) && message.echo_us() != 0) {
-        m_scheduler.confirm_host(from, echoed_at(message) + lease::host_confirmation_time);
+        m_scheduler.confirm_gateway(gateway_of(message), echoed_at(message) + lease::host_confirmation_time);
     }
     decide_leader(at);
 }
@@ -282,24 +282,29 @@
     send(to, std::move(message));
 }
 
+pool::gateway_ref member::gateway_of(const wire::envelope &message) {
+    return {internal::sender_of(message), gateway_session{message.session()}};
+}
+
 void member::handle_submit(const wire::envelope &message) {
     if(!m_leading || message.pool_job().term() != raw(m_term)) {
         return;
     }
-    const host_id from{message.from()};
+    const auto from = gateway_of(message);
+    const auto &host = from.process.host;
     const auto at = now();
     auto work = from_wire(message.pool_job(), from);
     if(!work) {
-        log_event(log_level::warning, "member", "submission_invalid", {{"job", message.pool_job().id()}, {"from", from}});
+        log_event(log_level::warning, "member", "submission_invalid", {{"job", message.pool_job().id()}, {"from", host}});
         return;
     }
-    const auto gateway_lease_until =
-        from == m_settings.self ? at + lease::host_confirmation_time : echoed_at(message) + lease::host_confirmation_time;
-    if(gateway_lease_until <= at) {
-        log_event(log_level::info, "member", "submission_stale", {{"job", message.pool_job().id()}, {"from", from}});
+    const auto confirmed_at = from.process == self() ? at : echoed_at(message);
+    const auto confirmed_until = confirmed_at + lease::host_confirmation_time;
+    if(confirmed_until <= at) {
+        log_event(log_level::info, "member", "submission_stale", {{"job", message.pool_job().id()}, {"from", host}});
         return;
     }
-    m_scheduler.confirm_host(from, gateway_lease_until);
+    m_scheduler.confirm_gateway(from, confirmed_until);
     m_scheduler.submit(std::move(*work), at);
 }
 
@@ -307,21 +312,25 @@
     if(!m_leading || message.pool_asked().term() != raw(m_term)) {
         return;
     }
-    const host_id from{message.from()};
+    const auto from = gateway_of(message);
     for(const auto &id: message.pool_asked().ids()) {
         if(!m_scheduler.answer_query(from, job_id{id})) {
             wire::envelope reply;
             reply.mutable_pool_answered()->set_id(id);
             reply.mutable_pool_answered()->set_not_known(true);
             reply.mutable_pool_answered()->set_term(raw(m_term));
-            send(from, std::move(reply));
+            reply.mutable_pool_answered()->set_session(raw(from.session));
+            reply.set_to_incarnation(raw(from.process.process));
+            send(from.process.host, std::move(reply));
         }
     }
 }
 
 void member::handle_answer(const wire::envelope &message) {
     const auto &reply = message.pool_answered();
-    const gateway::leader_ref from{host_id{message.from()}, leader_term{reply.term()}};
+    // Processes of earlier versions name no session.
+    const auto session = reply.session() == 0 ? m_gateway.self().session : gateway_session{reply.session()};
+    const gateway::answer_origin from{{host_id{message.from()}, leader_term{reply.term()}}, session};
     if(reply.not_known()) {
         m_gateway.not_known(from, job_id{reply.id()}, now());
         return;
@@ -349,15 +358,17 @@
     }
 }
 
-void member::answer(const host_id &to, const job_id &job, const job::answer &answer) {
+void member::answer(const pool::gateway_ref &to, const job_id &job, const job::answer &answer) {
     wire::envelope message;
+    message.set_to_incarnation(raw(to.process.process));
     auto &body = *message.mutable_pool_answered();
     body.set_id(job.str());
     body.set_result(static_cast<std::uint32_t>(answer.result));
     body.set_reason(static_cast<std::uint32_t>(answer.reason));
     body.set_retry_after_ms(answer.retry_after.count());
     body.set_term(raw(m_term));
-    send(to, std::move(message));
+    body.set_session(raw(to.session));
+    send(to.process.host, std::move(message));
 }
 
 void member::submit(const gateway::leader_ref &leader, pool::submission work) {
--- a/src/heathermoor/pool/fwd.hpp
+++ b/src/heathermoor/pool/fwd.hpp
@@ -5,6 +5,7 @@
 struct run_statistics;
 class order_port;
 class answer_port;
+struct gateway_ref;
 class holder_listener;
 class target_holder;
 class scheduler;
--- a/src/heathermoor/pool/ports.hpp
+++ b/src/heathermoor/pool/ports.hpp
@@ -107,14 +107,25 @@
     virtual void release(const target_id &target) = 0;
 };
 
-/// @brief Sends answers to entry hosts.
+/// @brief Session of a gateway with its leader, the only one for which what the gateway submitted in it counts.
+///
+/// A gateway that comes back to a leader submits again what its callers still wait for; what ended meanwhile has to lapse.
+struct gateway_ref {
+    process_ref process;
+    gateway_session session{};
+
+    // NOLINTNEXTLINE(modernize-use-nullptr): false positive on the defaulted comparison
+    friend auto operator<=>(const gateway_ref &, const gateway_ref &) = default;
+};
+
+/// @brief Sends answers to gateways.
 class answer_port : public interface {
   public:
     /// @brief Sends the answer to a job.
-    /// @param to Entry host that submitted the job.
+    /// @param to Gateway that submitted the job; no other process of its host gets the answer.
     /// @param job Id of the job.
     /// @param answer Outcome, reason and, for a refusal, the retry-after time.
-    virtual void answer(const host_id &to, const job_id &job, const job::answer &answer) = 0;
+    virtual void answer(const gateway_ref &to, const job_id &job, const job::answer &answer) = 0;
 };
 
 } // namespace heathermoor::pool
--- a/src/heathermoor/pool/scheduler.cpp
+++ b/src/heathermoor/pool/scheduler.cpp
@@ -26,9 +26,9 @@
 /// Time in which every target can report what it runs for an earlier scheduler.
 constexpr milliseconds report_collection_time{250};
 
-/// Grace period for an entry host without a heartbeat before its jobs are cancelled.
+/// Grace period for a gateway without a confirmation before its jobs are cancelled.
 /// Meanwhile nothing is started for it and no lease renewed, so the grace period does not delay the end of its runs.
-constexpr milliseconds host_grace_time{300};
+constexpr milliseconds gateway_grace_time{300};
 
 } // namespace internal
 
@@ -76,7 +76,7 @@
     m_queue.clear();
     m_orphans.clear();
     m_orphan_ends.clear();
-    m_hosts_confirmed_until.clear();
+    m_gateways_confirmed_until.clear();
     m_recent_answers.clear();
     m_reports_due.clear();
     m_settling_until.reset();
@@ -102,9 +102,7 @@
 }
 
 void scheduler::join(open_job &job, const submission &work, time_point now) {
-    if(std::find(job.hosts.begin(), job.hosts.end(), work.from) == job.hosts.end()) {
-        job.hosts.push_back(work.from);
-    }
+    add_gateway(job, work.from);
     job.ever_started = job.ever_started || work.may_have_run;
     update_queue(job);
     if(work.earlier_runs_end_in > duration::zero()) {
@@ -113,6 +111,16 @@
     }
 }
 
+void scheduler::add_gateway(open_job &job, const gateway_ref &gateway) {
+    const auto known = std::find_if(job.gateways.begin(), job.gateways.end(),
+                                    [&gateway](const gateway_ref &one) { return one.process == gateway.process; });
+    if(known == job.gateways.end()) {
+        job.gateways.push_back(gateway);
+    } else {
+        known->session = std::max(known->session, gateway.session);
+    }
+}
+
 void scheduler::set_earlier_runs(open_job &job, const submission &work, time_point now) {
     job.earlier = work.earlier;
     job.earlier_runs_end_at = std::max(job.earlier_runs_end_at, now + work.earlier_runs_end_in);
@@ -135,7 +143,7 @@
 void scheduler::open(submission work, time_point now) {
     open_job job;
     job.queue = std::move(work.queue);
-    job.hosts.push_back(work.from);
+    job.gateways.push_back(work.from);
     job.sent_at = now - work.age;
     job.deadline = now + work.remaining - internal::answer_margin;
     job.ever_started = work.may_have_run;
@@ -168,10 +176,10 @@
     m_others[host] = {std::move(idle), catalog_next, as_of};
 }
 
-bool scheduler::has_confirmed_host(const open_job &job, time_point now) const {
-    return std::any_of(job.hosts.begin(), job.hosts.end(), [&](const host_id &host) {
-        const auto known = m_hosts_confirmed_until.find(host);
-        return known != m_hosts_confirmed_until.end() && now < known->second;
+bool scheduler::has_confirmed_gateway(const open_job &job, time_point now) const {
+    return std::any_of(job.gateways.begin(), job.gateways.end(), [&](const gateway_ref &gateway) {
+        const auto known = m_gateways_confirmed_until.find(gateway);
+        return known != m_gateways_confirmed_until.end() && now < known->second;
     });
 }
 
@@ -241,30 +249,31 @@
     }
 }
 
-void scheduler::cancel(const host_id &from, const job_id &id, time_point now) {
+void scheduler::cancel(const gateway_ref &from, const job_id &id, time_point now) {
     const auto found = m_jobs.find(id);
     if(found == m_jobs.end()) {
         return;
     }
     auto &job = found->second;
-    if(job.next && job.next->from == from) {
+    const auto ends = [&from](const gateway_ref &one) { return one.process == from.process && one.session <= from.session; };
+    if(job.next && ends(job.next->from)) {
         job.next.reset();
         return;
     }
-    std::erase(job.hosts, from);
-    if(job.hosts.empty() && !job.closing) {
+    std::erase_if(job.gateways, ends);
+    if(job.gateways.empty() && !job.closing) {
         ++m_counts.cancelled;
         close(job, now);
         erase_if_closed(id, now);
     }
 }
 
-void scheduler::confirm_host(const host_id &host, time_point until) {
-    auto &known = m_hosts_confirmed_until[host];
+void scheduler::confirm_gateway(const gateway_ref &gateway, time_point until) {
+    auto &known = m_gateways_confirmed_until[gateway];
     known = std::max(known, until);
 }
 
-bool scheduler::answer_query(const host_id &from, const job_id &id) {
+bool scheduler::answer_query(const gateway_ref &from, const job_id &id) {
     const auto past = m_recent_answers.find(id);
     if(past != m_recent_answers.end()) {
         m_answers.answer(from, id, past->second.answer);
@@ -274,11 +283,12 @@
     if(known == m_jobs.end()) {
         return false;
     }
-    const auto &job = known->second;
-    if(job.closing) {
-        return job.next && job.next->from == from;
-    }
-    return std::find(job.hosts.begin(), job.hosts.end(), from) != job.hosts.end();
+    return waits(from, known->second);
+}
+
+bool scheduler::waits(const gateway_ref &gateway, const open_job &job) {
+    const bool next = job.next && job.next->from == gateway;
+    return next || std::find(job.gateways.begin(), job.gateways.end(), gateway) != job.gateways.end();
 }
 
 std::map<queue_id, std::uint32_t> scheduler::waiting() const {
@@ -297,11 +307,21 @@
     return found == all.end() ? 0 : found->second;
 }
 
+std::vector<job_id> scheduler::unanswered_jobs() const {
+    std::vector<job_id> result;
+    for(const auto &[id, job]: m_jobs) {
+        if(!job.closing) {
+            result.push_back(id);
+        }
+    }
+    return result;
+}
+
 void scheduler::finish(open_job &job, const job::answer &answer, time_point now) {
     log_answer(job, answer, now);
     count_outcome(job, answer, now);
-    for(const auto &host: job.hosts) {
-        m_answers.answer(host, job.job.id, answer);
+    for(const auto &gateway: job.gateways) {
+        m_answers.answer(gateway, job.job.id, answer);
     }
     m_counts.ended.add(answer.result);
     if(job::is_final(answer.result)) {
@@ -316,7 +336,7 @@
 void scheduler::close(open_job &job, time_point now) {
     job.closing = true;
     update_queue(job);
-    job.hosts.clear();
+    job.gateways.clear();
     for(const auto &slot: job.slots) {
         if(slot.state == slot_state::placed) {
             m_holder.stop(slot.target, {job.job.id, slot.step, slot.index}, now);
@@ -347,7 +367,7 @@
 void scheduler::tick(time_point now, milliseconds unix_now) {
     request_due_reports(now);
     m_holder.tick(now, unix_now);
-    drop_lost_hosts(now);
+    drop_lost_gateways(now);
     requeue_lapsed(now);
     end_overdue(now);
     stop_orphans(now);
@@ -362,27 +382,31 @@
     refuse_overload(now);
 }
 
-void scheduler::drop_lost_hosts(time_point now) {
-    std::vector<host_id> lost;
-    std::erase_if(m_hosts_confirmed_until, [&](const auto &item) {
-        const bool silent = now >= item.second + internal::host_grace_time;
+void scheduler::drop_lost_gateways(time_point now) {
+    std::vector<gateway_ref> lost;
+    std::erase_if(m_gateways_confirmed_until, [&](const auto &item) {
+        const bool silent = now >= item.second + internal::gateway_grace_time;
         if(silent) {
             lost.push_back(item.first);
         }
         return silent;
     });
-    for(const auto &host: lost) {
+    for(const auto &gateway: lost) {
         std::vector<job_id> affected;
         for(const auto &[id, job]: m_jobs) {
-            if(std::find(job.hosts.begin(), job.hosts.end(), host) != job.hosts.end()) {
+            if(waits(gateway, job)) {
                 affected.push_back(id);
             }
         }
         if(!affected.empty()) {
-            log_event(log_level::info, "pool", "entry_host_silent", {{"host", host}, {"jobs", affected.size()}});
+            log_event(log_level::info, "pool", "entry_host_silent",
+                      {{"host", gateway.process.host},
+                       {"process", gateway.process.process},
+                       {"session", gateway.session},
+                       {"jobs", affected.size()}});
         }
         for(const auto &id: affected) {
-            cancel(host, id, now);
+            cancel(gateway, id, now);
         }
     }
 }
--- a/src/heathermoor/pool/scheduler.hpp
+++ b/src/heathermoor/pool/scheduler.hpp
@@ -22,12 +22,12 @@
 
 namespace heathermoor::pool {
 
-/// @brief Job that an entry host passes to the scheduler.
+/// @brief Job that a gateway passes to the scheduler.
 struct submission {
     job::definition job;
     job::queue_policy queue;
-    /// Entry host that holds the caller's request and receives the answer.
-    host_id from;
+    /// Gateway that holds the caller's request and receives the answer.
+    gateway_ref from;
     /// Time since the caller sent the job.
     duration age{};
     /// Time left until the caller's deadline.
@@ -60,7 +60,7 @@
   public:
     /// @brief Creates a scheduler without targets or jobs.
     /// @param orders Port for orders to targets; has to outlive the scheduler.
-    /// @param answers Port for answers to entry hosts; has to outlive the scheduler.
+    /// @param answers Port for answers to gateways; has to outlive the scheduler.
     /// @param tokens Source of the fencing tokens for claims.
     scheduler(order_port &orders, answer_port &answers, lease::token_source tokens) : m_answers{answers}, m_holder{orders, *this, tokens} {}
 
@@ -70,7 +70,7 @@
     /// @param catalog_next Offset in the target catalog up to which the two lists are current.
     void set_targets(const std::vector<scoped_target> &targets, std::set<target_id> known, log_offset catalog_next);
 
-    /// @brief Drops all targets and jobs without answers; entry hosts submit their jobs to the next scheduler.
+    /// @brief Drops all targets and jobs without answers; gateways submit their jobs to the next scheduler.
     void resign();
 
     /// @brief Exports the run statistics of all queues and of the targets in scope.
@@ -86,26 +86,28 @@
     /// @brief Accepts a job; a submission of a known job joins that job.
     ///
     /// A job that has ended recently gets the same answer again.
-    /// @param work Job, its queue and its entry host.
+    /// @param work Job, its queue and its gateway.
     /// @param now Monotonic time of the call.
     void submit(submission work, time_point now);
 
-    /// @brief Removes an entry host from a job; without any left, the job's runs are stopped and nobody is answered.
-    /// @param from Entry host whose caller no longer waits.
+    /// @brief Removes a gateway from a job; without any left, the job's runs are stopped and nobody is answered.
+    /// @param from Gateway whose caller no longer waits; what it submits in a later session is not affected.
     /// @param id Job; an unknown one is ignored.
     /// @param now Monotonic time of the call.
-    void cancel(const host_id &from, const job_id &id, time_point now);
+    void cancel(const gateway_ref &from, const job_id &id, time_point now);
 
-    /// @brief Confirms that an entry host still waits for its jobs.
-    /// @param host Entry host.
+    /// @brief Confirms that a gateway still waits for its jobs.
+    ///
+    /// Says nothing of earlier sessions and processes, whose jobs may have lost their callers.
+    /// @param gateway Gateway in its present session.
     /// @param until Monotonic time up to which this holds; an earlier one than before has no effect.
-    void confirm_host(const host_id &host, time_point until);
+    void confirm_gateway(const gateway_ref &gateway, time_point until);
 
-    /// @brief Answers an entry host's query about a job; the answer of a job that has ended is sent again.
-    /// @param from Entry host that asks.
+    /// @brief Answers a gateway's query about a job; the answer of a job that has ended is sent again.
+    /// @param from Gateway that asks.
     /// @param id Job.
-    /// @return False if the job is unknown, or known but not for this entry host.
-    [[nodiscard]] bool answer_query(const host_id &from, const job_id &id);
+    /// @return False if the job is unknown, or known but not for this session of the gateway.
+    [[nodiscard]] bool answer_query(const gateway_ref &from, const job_id &id);
 
     /// @brief Counts the open jobs of a queue of which no task has started.
     /// @param queue Name of the queue.
@@ -150,7 +152,7 @@
     /// @param now Monotonic time of the call.
     void report_answered(const report_answer &answer, time_point now);
 
-    /// @brief Runs the periodic work: claims, renewals, deadlines, lost entry hosts, overload control and placement.
+    /// @brief Runs the periodic work: claims, renewals, deadlines, lost gateways, overload control and placement.
     /// @param now Monotonic time of the call.
     /// @param unix_now Wall clock since the Unix epoch, for fencing tokens.
     void tick(time_point now, milliseconds unix_now);
@@ -171,6 +173,10 @@
     /// @return Number of jobs.
     [[nodiscard]] std::size_t open_jobs() const noexcept { return m_jobs.size(); }
 
+    /// @brief Lists the jobs that are neither answered nor cancelled.
+    /// @return Ids in ascending order.
+    [[nodiscard]] std::vector<job_id> unanswered_jobs() const;
+
     void run_ended(const target_id &target, const lease::ended_run &end, time_point now) override;
     void run_found(const target_id &target, const lease::found_run &run, time_point now) override;
     void target_taken(const target_id &target, const std::vector<job::task_ref> &runs, time_point lapse, time_point now) override;
@@ -242,8 +248,8 @@
     struct open_job {
         job::definition job;
         job::queue_policy queue;
-        /// Entry hosts that wait for the answer.
-        std::vector<host_id> hosts;
+        /// Gateways that wait for the answer, each once, in the session in which it submitted the job last.
+        std::vector<gateway_ref> gateways;
         std::vector<task_slot> slots;
         time_point sent_at;
         /// Latest time for the answer to leave this host.
@@ -340,6 +346,7 @@
 
     void open(submission work, time_point now);
     void join(open_job &job, const submission &work, time_point now);
+    static void add_gateway(open_job &job, const gateway_ref &gateway);
     void adopt_orphans(open_job &job, time_point now);
     void log_opened(const open_job &job, time_point now) const;
     void log_placed(open_job &job, const speed_range &speeds, time_point now) const;
@@ -347,7 +354,9 @@
     void count_outcome(const open_job &job, const job::answer &answer, time_point now);
     void finish(open_job &job, const job::answer &answer, time_point now);
     void close(open_job &job, time_point now);
-    [[nodiscard]] bool has_confirmed_host(const open_job &job, time_point now) const;
+    /// Whether a gateway waits for a job, or for the next one of the same id while the job is closing.
+    [[nodiscard]] static bool waits(const gateway_ref &gateway, const open_job &job);
+    [[nodiscard]] bool has_confirmed_gateway(const open_job &job, time_point now) const;
     [[nodiscard]] bool cannot_start_in_time(const open_job &job, time_point now) const;
     [[nodiscard]] bool earlier_runs_ended(const open_job &job, time_point now) const;
     void set_earlier_runs(open_job &job, const submission &work, time_point now);
@@ -358,7 +367,7 @@
     [[nodiscard]] static bool may_be_active(const task_slot &slot) noexcept;
     void erase_if_closed(const job_id &id, time_point now);
     void end_overdue(time_point now);
-    void drop_lost_hosts(time_point now);
+    void drop_lost_gateways(time_point now);
     void requeue_lapsed(time_point now);
     void stop_orphans(time_point now);
     void stop_stalled(time_point now);
@@ -431,8 +440,8 @@
     std::map<job_id, recent_answer> m_recent_answers;
     std::unordered_map<job::task_ref, orphan_run> m_orphans;
     std::unordered_map<job::task_ref, orphan_end> m_orphan_ends;
-    /// Entry hosts, with the time up to which they are known to wait for their jobs.
-    std::unordered_map<host_id, time_point> m_hosts_confirmed_until;
+    /// Gateways, with the time up to which they are known to wait for their jobs.
+    std::map<gateway_ref, time_point> m_gateways_confirmed_until;
     std::map<host_id, other_scheduler> m_others;
     log_offset m_catalog_next{};
     /// Times at which reports are needed from all targets.
--- a/src/heathermoor/pool/scheduler_outcomes.cpp
+++ b/src/heathermoor/pool/scheduler_outcomes.cpp
@@ -21,10 +21,13 @@
 }
 
 void scheduler::log_opened(const open_job &job, time_point now) const {
+    const auto &from = job.gateways.front();
     log_event(log_level::debug, "pool", "job_opened",
               {{"job", job.job.id},
                {"queue", job.queue.name},
-               {"from", job.hosts.front()},
+               {"from", from.process.host},
+               {"process", from.process.process},
+               {"session", from.session},
                {"tasks", job.slots.size()},
                {"age_ms", now - job.sent_at},
                {"clear_in_ms", job.earlier_runs_end_at - now},
@@ -69,7 +72,7 @@
         run_time += slot.run_time;
     }
     const auto mean_run_time = done == 0 ? duration{} : run_time / static_cast<std::int64_t>(done);
-    const auto from = job.hosts.empty() ? host_id{} : job.hosts.front();
+    const auto from = job.gateways.empty() ? host_id{} : job.gateways.front().process.host;
     const auto estimate = job.job.steps.empty() ? milliseconds{0} : job.job.steps.front().estimate;
     log_event(log_level::info, "pool", "job_answered",
               {{"job", job.job.id},
--- a/src/heathermoor/pool/scheduler_placing.cpp
+++ b/src/heathermoor/pool/scheduler_placing.cpp
@@ -260,7 +260,7 @@
 }
 
 bool scheduler::may_start(const open_job &job, time_point now) const {
-    return has_confirmed_host(job, now) && earlier_runs_ended(job, now);
+    return has_confirmed_gateway(job, now) && earlier_runs_ended(job, now);
 }
 
 resources scheduler::least_need(const open_job &job) {
--- a/src/heathermoor/pool/scheduler_runs.cpp
+++ b/src/heathermoor/pool/scheduler_runs.cpp
@@ -10,7 +10,7 @@
 
 namespace internal {
 
-/// Time in which entry hosts submit their jobs to a new scheduler; runs that
+/// Time in which gateways submit their jobs to a new scheduler; runs that
 /// belong to no known job are stopped after it.
 constexpr milliseconds orphan_grace_time{450};
 
@@ -191,7 +191,7 @@
 bool scheduler::may_renew(const std::unordered_map<job::task_ref, lease::run_entry> &runs, time_point now) const {
     return std::all_of(runs.begin(), runs.end(), [&](const auto &item) {
         const auto found = m_jobs.find(item.first.job);
-        return found == m_jobs.end() || found->second.closing || has_confirmed_host(found->second, now);
+        return found == m_jobs.end() || found->second.closing || has_confirmed_gateway(found->second, now);
     });
 }
 
--- a/tests/gateway/gateway.cpp
+++ b/tests/gateway/gateway.cpp
@@ -26,7 +26,7 @@
     set_log_level(log_level::error);
     recorded_ports out;
     const time_point started{seconds{500}};
-    gateway::gateway gateway{host_id{"a"}, out, out, started};
+    gateway::gateway gateway{{host_id{"a"}, incarnation{1}}, out, out, started};
     job::definition job;
     job.id = job_id{"00000000000000aa"};
     job.steps.push_back({1, {1'000, 1, 0}, milliseconds{50}, {}, {}, {}, 0});
@@ -60,15 +60,16 @@
     const gateway::leader_ref first{host_id{"b"}, leader_term{1}};
     const gateway::leader_ref second{host_id{"c"}, leader_term{2}};
     const job::answer refusal{job::outcome::refused, errc::overloaded, milliseconds{100}};
-    gateway::gateway gateway{host_id{"a"}, out, out, started};
+    gateway::gateway gateway{{host_id{"a"}, incarnation{1}}, out, out, started};
     job::definition job;
     job.id = job_id{"00000000000000aa"};
     job.steps.push_back({1, {1'000, 1, 0}, milliseconds{50}, {}, {}, {}, 0});
     gateway.set_leader(first, started, started);
+    const gateway::answer_origin first_session{first, gateway.self().session};
     gateway.submit(gateway::request_token{1}, job, {}, milliseconds{1'500}, started);
 
     GIVEN("the only leader that has had it") {
-        gateway.answered(first, job.id, refusal, started + milliseconds{50});
+        gateway.answered(first_session, job.id, refusal, started + milliseconds{50});
         THEN("its refusal is passed on") {
             REQUIRE(out.answers.size() == 1);
             CHECK(out.answers.front().result == job::outcome::refused);
@@ -78,7 +79,14 @@
         gateway.set_leader(second, started + milliseconds{20}, started + milliseconds{20});
         gateway.set_leader(first, started + milliseconds{40}, started + milliseconds{40});
         WHEN("a refusal arrives that the first leader sent for the first submission") {
-            gateway.answered(first, job.id, refusal, started + milliseconds{41});
+            gateway.answered(first_session, job.id, refusal, started + milliseconds{41});
+            THEN("it is not passed on, since the first leader has the job again") {
+                CHECK(out.answers.empty());
+                CHECK(gateway.open(job.id));
+            }
+        }
+        WHEN("the first leader refuses the second submission") {
+            gateway.answered({first, gateway.self().session}, job.id, refusal, started + milliseconds{41});
             THEN("the caller is told that the outcome is not known") {
                 REQUIRE(out.answers.size() == 1);
                 CHECK(out.answers.front().result == job::outcome::unknown);
@@ -87,9 +95,9 @@
         }
     }
     GIVEN("a job that was submitted again because the leader had no record of it") {
-        gateway.not_known(first, job.id, started + milliseconds{300});
+        gateway.not_known(first_session, job.id, started + milliseconds{300});
         WHEN("a refusal of the first submission arrives") {
-            gateway.answered(first, job.id, refusal, started + milliseconds{301});
+            gateway.answered(first_session, job.id, refusal, started + milliseconds{301});
             THEN("the caller is told that the outcome is not known") {
                 REQUIRE(out.answers.size() == 1);
                 CHECK(out.answers.front().result == job::outcome::unknown);
@@ -105,7 +113,7 @@
     const time_point started{seconds{500}};
     const gateway::leader_ref first{host_id{"b"}, leader_term{1}};
     const gateway::leader_ref second{host_id{"c"}, leader_term{2}};
-    gateway::gateway gateway{host_id{"a"}, out, out, started};
+    gateway::gateway gateway{{host_id{"a"}, incarnation{1}}, out, out, started};
     job::definition job;
     job.id = job_id{"00000000000000aa"};
     job.steps.push_back({1, {1'000, 1, 0}, milliseconds{50}, {}, {}, {}, 0});
@@ -150,7 +158,7 @@
     const time_point started{seconds{500}};
     const gateway::leader_ref first{host_id{"b"}, leader_term{1}};
     const gateway::leader_ref second{host_id{"c"}, leader_term{2}};
-    gateway::gateway gateway{host_id{"a"}, out, out, started};
+    gateway::gateway gateway{{host_id{"a"}, incarnation{1}}, out, out, started};
     gateway.set_leader(first, started, started);
     job::definition job;
     job.id = job_id{"00000000000000aa"};
@@ -159,17 +167,19 @@
     const job::answer completed{job::outcome::completed, errc::ok, {}};
 
     GIVEN("a job that was passed to a second leader") {
+        const auto session = gateway.self().session;
         gateway.set_leader(second, started, started + milliseconds{100});
         REQUIRE(out.handed.size() == 2);
+        CHECK(out.handed.back().from.session > session);
         WHEN("the first leader completes it") {
-            gateway.answered(first, job.id, completed, started + milliseconds{150});
+            gateway.answered({first, session}, job.id, completed, started + milliseconds{150});
             THEN("the caller gets the answer, and the second leader is told to end the job") {
                 CHECK(out.answers.size() == 1);
                 CHECK(out.cancelled_at == std::vector{second});
             }
         }
         WHEN("the second leader completes it") {
-            gateway.answered(second, job.id, completed, started + milliseconds{150});
+            gateway.answered({second, gateway.self().session}, job.id, completed, started + milliseconds{150});
             THEN("nobody has to be told") {
                 CHECK(out.answers.size() == 1);
                 CHECK(out.cancelled_at.empty());
--- a/tests/member/malformed_messages.cpp
+++ b/tests/member/malformed_messages.cpp
@@ -222,6 +222,7 @@
     const auto term = raw(host.subject->leader()->term);
     wire::envelope message;
     message.set_from("self");
+    message.set_incarnation(7);
     auto &job = *message.mutable_pool_job();
     job.set_id("5c0e7a21d94b36f8");
     job.set_remaining_us(1'500'000);
@@ -258,4 +259,10 @@
         host.subject->received(message);
         CHECK(host.subject->scheduler().open_jobs() == 1);
     }
+    GIVEN("one task, under the name of the own host, but by another process") {
+        job.add_steps()->set_tasks(1);
+        message.set_incarnation(6);
+        host.subject->received(message);
+        CHECK(host.subject->scheduler().open_jobs() == 0);
+    }
 }
--- a/tests/member/two_leaders.cpp
+++ b/tests/member/two_leaders.cpp
@@ -1,10 +1,10 @@
 #include "support/pool_world.hpp"
+#include "support/seeds.hpp"
 
 #include "heathermoor/core/log.hpp"
 #include <catch2/catch.hpp>
 #include <cstdlib>
 #include <fmt/format.h>
-#include <numeric>
 
 using namespace heathermoor;
 using test::pool_world;
@@ -14,21 +14,6 @@
 /// Jobs a second: more than the targets can run at once, so that jobs wait while leaders change.
 constexpr double crowded_load = 60.0;
 
-/// Seeds of the fault sequences: `HEATHERMOOR_SEEDS`, as `FIRST:COUNT`, or a fixed set.
-std::vector<std::uint64_t> chosen_seeds() {
-    std::uint64_t first = 1;
-    std::size_t count = 150;
-    if(const auto *chosen = std::getenv("HEATHERMOOR_SEEDS"); chosen != nullptr) {
-        const std::string text{chosen};
-        const auto colon = text.find(':');
-        first = std::stoull(text.substr(0, colon));
-        count = colon == std::string::npos ? 1 : std::stoull(text.substr(colon + 1));
-    }
-    std::vector<std::uint64_t> seeds(count);
-    std::iota(seeds.begin(), seeds.end(), first);
-    return seeds;
-}
-
 /// Lets leaders live side by side for a while, with gateways that change between them.
 void disturb_hearing(pool_world &world, std::mt19937_64 &random) {
     const auto host = static_cast<std::size_t>(random() % world.hosts());
@@ -57,7 +42,7 @@
 } // namespace
 
 SCENARIO("Gateways that change between living leaders cause no second run of a task", "[member][fault][two-leaders]") {
-    const auto seed = GENERATE(from_range(chosen_seeds()));
+    const auto seed = GENERATE(from_range(test::chosen_seeds(150)));
     GIVEN(fmt::format("hosts that hear each other late, in part or not at all, seed {}", seed)) {
         set_log_level(std::getenv("HEATHERMOOR_DEBUG") != nullptr ? log_level::debug : log_level::error);
         pool_world::options options;
--- a/tests/pool/scheduler.cpp
+++ b/tests/pool/scheduler.cpp
@@ -15,6 +15,11 @@
 constexpr std::int64_t task_cpu = 8'000;
 constexpr milliseconds declared{100};
 
+/// Gateway of a host's first process in its first session.
+[[nodiscard]] gateway_ref gateway_of(const std::string &host) {
+    return {{host_id{host}, incarnation{1}}, gateway_session{1}};
+}
+
 /// Scheduler with recorded orders and simulated targets; a test advances time and delivers each answer itself.
 struct scheduler_fixture final : order_port, answer_port {
     scheduler_fixture() : subject{*this, *this, lease::token_source{1}} { set_log_level(log_level::error); }
@@ -23,7 +28,7 @@
     void stop(const stop_order &order) override { stops.push_back(order); }
     void report(const report_order &order) override { reports.push_back(order); }
     void release(const target_id &) override {}
-    void answer(const host_id &to, const job_id &job, const job::answer &answer) override { answers[job].emplace_back(to, answer); }
+    void answer(const gateway_ref &to, const job_id &job, const job::answer &answer) override { answers[job].emplace_back(to, answer); }
 
     /// Puts targets in scope and sends the claims; nothing is answered.
     void list_targets(int count) {
@@ -47,8 +52,8 @@
     }
 
     void tick() {
-        subject.confirm_host(host_id{"a"}, now + seconds{1});
-        subject.confirm_host(host_id{"b"}, now + seconds{1});
+        subject.confirm_gateway(gateway_of("a"), now + seconds{1});
+        subject.confirm_gateway(gateway_of("b"), now + seconds{1});
         subject.tick(now, milliseconds{1'000'000});
     }
 
@@ -87,8 +92,13 @@
         list.push_back({end_number{list.size() + 1}, task, run.number, how});
     }
 
-    void submit(const std::string &id, const char *from, std::uint32_t tasks, std::uint32_t priority = 0,
+    void submit(const std::string &id, const char *host, std::uint32_t tasks, std::uint32_t priority = 0,
                 milliseconds estimate = declared) {
+        submit_from(gateway_of(host), id, tasks, priority, estimate);
+    }
+
+    void submit_from(gateway_ref from, const std::string &id, std::uint32_t tasks, std::uint32_t priority = 0,
+                     milliseconds estimate = declared) {
         submission one;
         one.job.id = job_id{id};
         one.job.steps.push_back({tasks, {task_cpu, 10, 0}, estimate, {}, {}, {}, 0});
@@ -98,7 +108,7 @@
         one.queue.max_attempts = 2;
         one.queue.stretch = 1.6;
         one.queue.target_latency = milliseconds{60};
-        one.from = host_id{from};
+        one.from = std::move(from);
         one.remaining = milliseconds{1'500};
         subject.submit(std::move(one), now);
         subject.place(now);
@@ -152,7 +162,7 @@
     std::vector<start_order> answered_starts;
     std::vector<stop_order> stops;
     std::vector<report_order> reports;
-    std::map<job_id, std::vector<std::pair<host_id, job::answer>>> answers;
+    std::map<job_id, std::vector<std::pair<gateway_ref, job::answer>>> answers;
     std::set<target_id> leaving;
     std::map<job::task_ref, placed_run> running;
     std::map<target_id, std::vector<lease::reported_end>> ended;
@@ -386,7 +396,7 @@
     scheduler_fixture fixture;
     fixture.add_targets(1);
     fixture.submit("one", "c", 1);
-    fixture.subject.confirm_host(host_id{"c"}, fixture.now + milliseconds{450});
+    fixture.subject.confirm_gateway(gateway_of("c"), fixture.now + milliseconds{450});
     fixture.subject.place(fixture.now);
     fixture.tick();
     fixture.answer_starts();
@@ -411,7 +421,7 @@
             CHECK(fixture.starts.empty());
         }
         WHEN("the entry host is confirmed again") {
-            fixture.subject.confirm_host(host_id{"c"}, fixture.now + milliseconds{450});
+            fixture.subject.confirm_gateway(gateway_of("c"), fixture.now + milliseconds{450});
             fixture.tick();
             THEN("its run continues, and the other job starts on the target") {
                 CHECK(fixture.stops.empty());
@@ -429,6 +439,156 @@
     }
 }
 
+// Guards against a leader that took a restarted host for the process that had submitted a job: it renewed the leases of jobs that
+// nobody waited for, and a request that was sent again to another cell ran beside them (review/1).
+SCENARIO("Only the process that submitted a job keeps it alive", "[pool]") {
+    const auto killed = gateway_of("c");
+    const gateway_ref next{{host_id{"c"}, incarnation{2}}, gateway_session{1}};
+    constexpr milliseconds longer_than_the_budget{1'000};
+    scheduler_fixture fixture;
+    fixture.add_targets(1);
+    fixture.subject.confirm_gateway(killed, fixture.now + milliseconds{450});
+    fixture.submit_from(killed, "one", 1, 0, longer_than_the_budget);
+    fixture.answer_starts();
+    REQUIRE(fixture.answered_starts.size() == 1);
+
+    GIVEN("a host whose next process confirms at once, and goes on to do so") {
+        const auto run = [&](milliseconds length) {
+            for(milliseconds passed{0}; passed < length; passed += milliseconds{50}) {
+                fixture.now += milliseconds{50};
+                fixture.subject.confirm_gateway(next, fixture.now + milliseconds{450});
+                fixture.tick();
+                fixture.answer_reports();
+            }
+        };
+        WHEN("it submits nothing") {
+            run(milliseconds{700});
+            CHECK(fixture.stops.empty());
+            run(milliseconds{50});
+            THEN("the run is stopped when the grace period of the killed process ends") {
+                REQUIRE(fixture.stops.size() == 1);
+                CHECK(fixture.stops.front().task.job == job_id{"one"});
+            }
+        }
+        WHEN("its caller sends the request again to the same host") {
+            run(milliseconds{100});
+            fixture.submit_from(next, "one", 1, 0, longer_than_the_budget);
+            run(milliseconds{850});
+            THEN("the run goes on, and only the next process gets the answer") {
+                CHECK(fixture.stops.empty());
+                fixture.end(fixture.answered_starts.front().task, lease::run_end::done);
+                fixture.tick();
+                fixture.answer_reports();
+                REQUIRE(fixture.answers[job_id{"one"}].size() == 1);
+                CHECK(fixture.answers[job_id{"one"}].front().first == next);
+            }
+        }
+        WHEN("the request is sent again, and then cancelled") {
+            run(milliseconds{100});
+            fixture.submit_from(next, "one", 1, 0, longer_than_the_budget);
+            fixture.subject.cancel(next, job_id{"one"}, fixture.now);
+            run(milliseconds{750});
+            THEN("the run is stopped") {
+                REQUIRE_FALSE(fixture.stops.empty());
+                CHECK(fixture.stops.front().task.job == job_id{"one"});
+            }
+        }
+        WHEN("the request is sent again, and a cancelling by the killed process arrives late") {
+            run(milliseconds{100});
+            fixture.submit_from(next, "one", 1, 0, longer_than_the_budget);
+            fixture.subject.cancel(killed, job_id{"one"}, fixture.now);
+            run(milliseconds{850});
+            THEN("the run goes on") {
+                CHECK(fixture.stops.empty());
+            }
+        }
+        WHEN("a query of the killed process arrives late") {
+            fixture.submit_from(next, "two", 1);
+            THEN("it does not learn of the jobs of the next process, nor the next process of its jobs") {
+                CHECK_FALSE(fixture.subject.answer_query(killed, job_id{"two"}));
+                CHECK_FALSE(fixture.subject.answer_query(next, job_id{"one"}));
+            }
+        }
+    }
+}
+
+// Guards against a leader that was silent for a while, kept the jobs of gateways that had gone to another leader and come back, and
+// ran what had been answered or cancelled meanwhile (review/5; walk seeds 312, 319 and 382).
+SCENARIO("A gateway that comes back to a leader vouches only for what it submits again", "[pool]") {
+    constexpr milliseconds longer_than_the_budget{1'000};
+    const auto before = gateway_of("c");
+    const gateway_ref back{before.process, gateway_session{3}};
+    scheduler_fixture fixture;
+    fixture.add_targets(1);
+    fixture.subject.confirm_gateway(before, fixture.now + milliseconds{450});
+    fixture.submit_from(before, "one", 1, 0, longer_than_the_budget);
+    fixture.answer_starts();
+    REQUIRE(fixture.answered_starts.size() == 1);
+    const auto run = [&](milliseconds length) {
+        for(milliseconds passed{0}; passed < length; passed += milliseconds{50}) {
+            fixture.now += milliseconds{50};
+            fixture.subject.confirm_gateway(back, fixture.now + milliseconds{450});
+            fixture.tick();
+            fixture.answer_reports();
+        }
+    };
+    GIVEN("a gateway that does not submit its job again") {
+        run(milliseconds{700});
+        CHECK(fixture.stops.empty());
+        run(milliseconds{50});
+        THEN("the run is stopped when the grace period of the earlier session ends") {
+            REQUIRE(fixture.stops.size() == 1);
+            CHECK(fixture.stops.front().task.job == job_id{"one"});
+        }
+    }
+    GIVEN("a gateway that submits its job again") {
+        run(milliseconds{100});
+        CHECK_FALSE(fixture.subject.answer_query(back, job_id{"one"}));
+        fixture.submit_from(back, "one", 1, 0, longer_than_the_budget);
+        CHECK(fixture.subject.answer_query(back, job_id{"one"}));
+        WHEN("a cancelling of the earlier session arrives late") {
+            fixture.subject.cancel(before, job_id{"one"}, fixture.now);
+            run(milliseconds{850});
+            THEN("the run goes on, and the gateway gets one answer") {
+                CHECK(fixture.stops.empty());
+                fixture.end(fixture.answered_starts.front().task, lease::run_end::done);
+                fixture.tick();
+                fixture.answer_reports();
+                CHECK(fixture.answers[job_id{"one"}].size() == 1);
+            }
+        }
+        WHEN("it cancels the job") {
+            fixture.subject.cancel(back, job_id{"one"}, fixture.now);
+            THEN("the run is stopped at once") {
+                REQUIRE(fixture.stops.size() == 1);
+            }
+        }
+    }
+}
+
+// Guards against a job that is held until its deadline though its gateway was lost before the job could be opened.
+SCENARIO("A submission that waits for the end of an earlier job is dropped with its gateway", "[pool]") {
+    scheduler_fixture fixture;
+    fixture.add_targets(1);
+    fixture.submit("one", "a", 1);
+    fixture.answer_starts();
+    GIVEN("a cancelled job whose run is still to be stopped, and a gateway that submits it again and is lost") {
+        fixture.subject.cancel(gateway_of("a"), job_id{"one"}, fixture.now);
+        fixture.subject.confirm_gateway(gateway_of("c"), fixture.now + milliseconds{450});
+        fixture.submit("one", "c", 1);
+        REQUIRE(fixture.subject.answer_query(gateway_of("c"), job_id{"one"}));
+        fixture.now += milliseconds{750};
+        fixture.tick();
+        THEN("nothing is opened for it when the run has ended") {
+            CHECK_FALSE(fixture.subject.answer_query(gateway_of("c"), job_id{"one"}));
+            fixture.end(fixture.answered_starts.front().task, lease::run_end::stopped);
+            fixture.tick();
+            fixture.answer_reports();
+            CHECK(fixture.subject.open_jobs() == 0);
+        }
+    }
+}
+
 // Guards against a double start after cells change: a leader started a job that the leader of another cell had before
 // as soon as its own targets had reported, though the job's runs could be on the other cell's targets. Found by a
 // randomized fault test (bw-sched-grown, mix, seed 191536029579).
@@ -441,7 +601,7 @@
         one.job.id = job_id{"one"};
         one.job.steps.push_back({1, {task_cpu, 10, 0}, declared, {}, {}, {}, 0});
         one.queue.service = service_id{"s"};
-        one.from = host_id{"a"};
+        one.from = gateway_of("a");
         one.remaining = milliseconds{1'500};
         one.earlier_runs_end_in = earlier_runs_end_in;
         one.may_have_run = true;
@@ -486,7 +646,7 @@
         one.job.id = job_id{"one"};
         one.job.steps.push_back({1, {task_cpu, 10, 0}, declared, {}, {}, {}, 0});
         one.queue.service = service_id{"s"};
-        one.from = host_id{"a"};
+        one.from = gateway_of("a");
         one.remaining = milliseconds{1'500};
         one.earlier_runs_end_in = milliseconds{200} + lease::longest_unreachable_run;
         one.may_have_run = true;
@@ -545,7 +705,7 @@
         one.job.id = task.job;
         one.job.steps.push_back({1, {task_cpu, 10, 0}, declared, {}, {}, {}, 0});
         one.queue.service = service_id{"s"};
-        one.from = host_id{"a"};
+        one.from = gateway_of("a");
         one.remaining = milliseconds{1'500};
         one.may_have_run = true;
         fixture.subject.submit(std::move(one), fixture.now);
@@ -564,7 +724,7 @@
         }
         WHEN("the job is cancelled, its later run ends and the job is submitted again") {
             fixture.tick();
-            fixture.subject.cancel(host_id{"a"}, task.job, fixture.now);
+            fixture.subject.cancel(gateway_of("a"), task.job, fixture.now);
             fixture.now += milliseconds{30};
             fixture.tick();
             report("t1", std::nullopt);
--- a/tests/support/pool_world.cpp
+++ b/tests/support/pool_world.cpp
@@ -19,9 +19,15 @@
 constexpr duration wait_timeout_slack = milliseconds{150};
 constexpr duration tick_interval = milliseconds{25};
 constexpr duration resubmission_delay = milliseconds{1'300};
-constexpr duration caller_deadline = milliseconds{1'500};
 constexpr duration step = milliseconds{1};
 
+/// Interval of the checks of what leaders hold.
+constexpr duration leader_check_interval = milliseconds{25};
+
+/// Longest time for which a leader may hold a job that no running host waits for: the budget of a lost entry host up to the stop
+/// of its runs (450 ms and 300 ms), and the timer of the leader.
+constexpr duration unclaimed_limit = milliseconds{450 + 300} + 2 * tick_interval;
+
 /// Time that a job needs beside its longest run: two intervals of the timer until it is placed and its end is seen, and messages.
 constexpr duration job_overhead = 2 * tick_interval + 4 * latency;
 
@@ -314,7 +320,8 @@
 }
 
 void pool_world::freeze(std::size_t host, duration length) {
-    m_hosts.at(host)->frozen_until = m_now + length;
+    auto &until = m_hosts.at(host)->frozen_until;
+    until = std::max(until, m_now + length);
 }
 
 void pool_world::stop_gracefully(std::size_t host) {
@@ -492,8 +499,9 @@
         auto &target = m_targets[index];
         target.advance(now);
         auto &job = m_jobs.at(order.task.job);
+        const auto spread = static_cast<std::uint64_t>((m_options.longest_run - m_options.shortest_run).count());
         std::mt19937_64 task_random{std::hash<job::task_ref>{}(order.task)};
-        const auto any_work = from_ms(50.0 + static_cast<double>(task_random() % 300));
+        const auto any_work = from_ms(to_ms(m_options.shortest_run) + static_cast<double>(task_random() % spread));
         const auto work = job.run_times.empty() ? any_work : job.run_times.at(order.task.index);
         const bool fails = std::uniform_real_distribution<double>{}(m_random) < m_faults.failing_runs;
         const auto &need = job.definition.steps.at(order.task.step).need;
@@ -626,6 +634,39 @@
     }
 }
 
+bool pool_world::waited_for(const job_id &job) const {
+    return std::any_of(m_hosts.begin(), m_hosts.end(),
+                       [&job](const auto &state) { return state->running && state->host->jobs().open(job); });
+}
+
+void pool_world::check_leaders() {
+    if(m_now - m_leaders_checked_at < leader_check_interval) {
+        return;
+    }
+    m_leaders_checked_at = m_now;
+    const auto before = std::exchange(m_unclaimed_since, {});
+    for(const auto &state: m_hosts) {
+        // A leader that stands still for a while acts on what it has not read yet only after that.
+        if(!state->running || !state->host->leading() || m_now < state->frozen_until) {
+            continue;
+        }
+        for(const auto &job: state->host->scheduler().unanswered_jobs()) {
+            if(waited_for(job)) {
+                continue;
+            }
+            const std::pair held{state->index, job};
+            const auto known = before.find(held);
+            const auto since = known == before.end() ? m_now : known->second;
+            m_unclaimed_since[held] = since;
+            const auto beyond = m_now - since - unclaimed_limit;
+            if(beyond > duration::zero() && beyond <= leader_check_interval) {
+                m_violations.push_back(fmt::format("{}: host {} holds {}, for which no host has waited for {} ms",
+                                                   to_ms(m_now.time_since_epoch()), state->index, job.str(), to_ms(m_now - since)));
+            }
+        }
+    }
+}
+
 void pool_world::send_job() {
     job::definition definition;
     definition.id = job_id{fmt::format("{:016x}", m_sent++)};
@@ -651,7 +692,7 @@
     job.record.tasks = job.definition.steps.front().tasks;
     job.record.longest_run = *std::max_element(job.run_times.begin(), job.run_times.end());
     const auto fastest = *std::max_element(m_options.target_speeds.begin(), m_options.target_speeds.end());
-    job.record.servable = to_ms(job.record.longest_run) / fastest < to_ms(caller_deadline - job_overhead);
+    job.record.servable = to_ms(job.record.longest_run) / fastest < to_ms(m_options.caller_deadline - job_overhead);
     job.entry_host = static_cast<std::size_t>(m_job_random() % m_hosts.size());
     job.queue.name = queue_id{kind.name};
     job.queue.priority = kind.priority;
@@ -691,9 +732,10 @@
     queue.max_attempts = 3;
     queue.stretch = 1.6;
     queue.target_latency = milliseconds{60};
-    on_host(index, state.process, [request, definition = known.definition, queue](member::member &host) {
-        host.submit_job(gateway::request_token{request}, definition, queue, caller_deadline);
-    });
+    on_host(index, state.process,
+            [request, definition = known.definition, queue, deadline = m_options.caller_deadline](member::member &host) {
+                host.submit_job(gateway::request_token{request}, definition, queue, deadline);
+            });
 }
 
 void pool_world::reply(gateway::request_token request, const job::answer &answer) {
@@ -710,7 +752,7 @@
     }
     ++m_outcomes[static_cast<std::size_t>(answer.result)];
     auto &job = m_jobs.at(call.job);
-    job.record.served = answer.result == job::outcome::completed && m_now - job.sent_at <= caller_deadline;
+    job.record.served = answer.result == job::outcome::completed && m_now - job.sent_at <= m_options.caller_deadline;
     --job.attempts_open;
     job.any_refused = job.any_refused || answer.result == job::outcome::refused;
     job.answered_unrefused = job.answered_unrefused || answer.result != job::outcome::refused;
@@ -735,6 +777,7 @@
         events_until(next);
         m_now = next;
         advance_targets();
+        check_leaders();
         for(const auto &kind: m_options.kinds) {
             // Arrivals are independent of each other.
             const auto mean = kind.jobs_per_s * m_load * to_ms(step) / 1'000.0;
--- a/tests/support/pool_world.hpp
+++ b/tests/support/pool_world.hpp
@@ -32,7 +32,8 @@
 
 /// @brief Simulation of hosts, targets and callers in virtual time; the hosts run the production modules.
 ///
-/// Checks on every start that no task runs twice, no target exceeds its capacity and nothing runs after a refusal.
+/// Checks on every start that no task runs twice, no target exceeds its capacity and nothing runs after a refusal, and at all
+/// times that no leader goes on with a job that no running host waits for.
 class pool_world {
   public:
     struct options {
@@ -47,6 +48,11 @@
         resources target_capacity{16'000, 32'768, 0};
         /// Speeds of the targets, by turns.
         std::vector<double> target_speeds{1.7, 0.8, 0.8};
+        /// Run times of the tasks of jobs without a kind, at speed 1.
+        milliseconds shortest_run{50};
+        milliseconds longest_run{350};
+        /// Time from a request until its caller stops waiting.
+        milliseconds caller_deadline{1'500};
     };
 
     explicit pool_world(options chosen);
@@ -173,7 +179,8 @@
     void reply(gateway::request_token request, const job::answer &answer);
     void retry_call(const open_call &call);
     void advance_targets();
-    void check_targets();
+    void check_leaders();
+    [[nodiscard]] bool waited_for(const job_id &job) const;
     void wake_waiters(std::size_t target);
     [[nodiscard]] bool reaches_host(std::size_t from, std::size_t to) const;
     [[nodiscard]] bool reaches_target(std::size_t from, std::size_t target) const;
@@ -223,6 +230,9 @@
     std::uint64_t m_claims{};
     std::uint64_t m_outcomes[4]{};
     std::vector<std::string> m_violations;
+    /// Jobs that leaders hold though no running host waits for them, by leader, with the time since when.
+    std::map<std::pair<std::size_t, job_id>, time_point> m_unclaimed_since;
+    time_point m_leaders_checked_at{};
     struct waiter {
         std::uint64_t id;
         std::function<void()> answer;
