--- /dev/null
+++ b/tests/support/pool_world_callers.cpp
@@ -0,0 +1,128 @@
+#include "support/pool_world_host.hpp"
+
+#include "heathermoor/core/event.hpp"
+#include <algorithm>
+#include <fmt/format.h>
+
+namespace heathermoor::test {
+
+namespace {
+
+/// Time after which a caller without an answer sends its request again.
+constexpr duration resubmission_delay = milliseconds{1'300};
+
+/// Time that a job needs beside its longest run: two intervals of the timer until it is placed and its end is seen, and messages.
+constexpr duration job_overhead = 2 * tick_interval + 4 * latency;
+
+} // namespace
+
+void pool_world::send_job() {
+    job::definition definition;
+    definition.id = job_id{fmt::format("{:016x}", m_sent++)};
+    job::step one;
+    one.tasks = 1 + static_cast<std::uint32_t>(m_random() % 8);
+    one.need = {5'000 + static_cast<std::int64_t>(m_random() % 3'000), 64, 0};
+    one.estimate = milliseconds{150};
+    definition.steps.push_back(one);
+    const auto id = definition.id;
+    m_jobs[id].definition = std::move(definition);
+    submit(id, 1);
+}
+
+void pool_world::send_job_of(const job_kind &kind) {
+    const job_id id{fmt::format("{:016x}", m_sent++)};
+    auto drawn = draw_job(kind, id, m_job_random);
+    auto &job = m_jobs[id];
+    job.definition = std::move(drawn.definition);
+    job.run_times = std::move(drawn.run_times);
+    job.sent_at = m_now;
+    job.record.kind = kind.name;
+    job.record.work = drawn.work;
+    job.record.tasks = job.definition.steps.front().tasks;
+    job.record.longest_run = *std::max_element(job.run_times.begin(), job.run_times.end());
+    const auto fastest = *std::max_element(m_options.target_speeds.begin(), m_options.target_speeds.end());
+    job.record.servable = to_ms(job.record.longest_run) / fastest < to_ms(m_options.caller_deadline - job_overhead);
+    job.entry_host = static_cast<std::size_t>(m_job_random() % m_hosts.size());
+    job.queue.name = queue_id{kind.name};
+    job.queue.priority = kind.priority;
+    submit(id, 1);
+}
+
+std::vector<job_record> pool_world::job_records() const {
+    std::vector<job_record> records;
+    for(const auto &[id, job]: m_jobs) {
+        if(!job.run_times.empty()) {
+            records.push_back(job.record);
+        }
+    }
+    return records;
+}
+
+void pool_world::submit(const job_id &job, std::uint32_t attempt) {
+    auto &known = m_jobs.at(job);
+    const auto index = known.run_times.empty() ? static_cast<std::size_t>(m_random() % m_hosts.size()) : known.entry_host;
+    log_event(log_level::debug, "world", "submitted",
+              {{"job", job}, {"host", index}, {"attempt", attempt}, {"at_ms", m_now.time_since_epoch()}});
+    known.record.host = index;
+    known.record.domain = domain_of(index);
+    auto &state = *m_hosts[index];
+    if(!state.running) {
+        return;
+    }
+    ++known.attempts_open;
+    const auto request = m_next_request++;
+    m_callers[request] = {job, index, state.process, attempt};
+    job::queue_policy queue = known.queue;
+    if(known.run_times.empty()) {
+        queue.name = queue_id{fmt::format("q{}", std::hash<job_id>{}(job) % 3)};
+        queue.priority = static_cast<std::uint32_t>(std::hash<job_id>{}(job) % 3);
+    }
+    queue.service = service_id{"service"};
+    queue.max_attempts = 3;
+    queue.stretch = 1.6;
+    queue.target_latency = milliseconds{60};
+    on_host(index, state.process,
+            [request, definition = known.definition, queue, deadline = m_options.caller_deadline](member::member &host) {
+                host.submit_job(gateway::request_token{request}, definition, queue, deadline);
+            });
+}
+
+void pool_world::reply(gateway::request_token request, const job::answer &answer) {
+    const auto found = m_callers.find(raw(request));
+    if(found == m_callers.end()) {
+        m_violations.push_back("an answer without a request");
+        return;
+    }
+    const auto call = found->second;
+    m_callers.erase(found);
+    if(answer.result == job::outcome::unknown) {
+        retry_call(call);
+        return;
+    }
+    ++m_outcomes[static_cast<std::size_t>(answer.result)];
+    auto &job = m_jobs.at(call.job);
+    job.record.served = answer.result == job::outcome::completed && m_now - job.sent_at <= m_options.caller_deadline;
+    --job.attempts_open;
+    job.any_refused = job.any_refused || answer.result == job::outcome::refused;
+    job.answered_unrefused = job.answered_unrefused || answer.result != job::outcome::refused;
+    if(answer.result == job::outcome::refused && job.started && !job.answered_unrefused && job.attempts_open == 0) {
+        m_violations.push_back(fmt::format("{} was refused though it had run", call.job.str()));
+    }
+}
+
+void pool_world::retry_call(const open_call &call) {
+    ++m_outcomes[3];
+    auto &job = m_jobs.at(call.job);
+    --job.attempts_open;
+    job.answered_unrefused = true;
+    constexpr std::uint32_t max_attempts = 3;
+    if(!job.run_times.empty()) {
+        // Its caller's deadline passes before it would be sent again.
+        return;
+    }
+    if(call.attempt < max_attempts) {
+        at(resubmission_delay, [this, id = call.job, attempt = call.attempt] { submit(id, attempt + 1); });
+    }
+}
+
+} // namespace heathermoor::test
