--- a/src/heathermoor/contact/process_history.hpp
+++ b/src/heathermoor/contact/process_history.hpp
@@ -9,8 +9,8 @@
 
 /// @brief Tells the present process of each host from earlier ones, whose messages may still arrive.
 ///
-/// Numbers of processes only differ, so the order in which processes are first heard decides which one is the later. That can
-/// be wrong after a long delay; a process that was taken for replaced is accepted again when the other one has fallen silent.
+/// The numbers of processes have no order. Of two processes, the one that is heard first counts as the earlier one. A late message
+/// can reverse that, so a process that was taken for replaced is accepted again when the other one has been silent for a while.
 class process_history {
   public:
     /// @brief Records a message, whose process becomes the present one of its host unless it is known to be an earlier one.
--- a/src/heathermoor/pool/ports.hpp
+++ b/src/heathermoor/pool/ports.hpp
@@ -107,9 +107,10 @@
     virtual void release(const target_id &target) = 0;
 };
 
-/// @brief Session of a gateway with its leader, the only one for which what the gateway submitted in it counts.
+/// @brief Gateway in one of its sessions with a leader.
 ///
-/// A gateway that comes back to a leader submits again what its callers still wait for; what ended meanwhile has to lapse.
+/// A gateway that comes back to a leader starts a new session, in which it submits the jobs that its callers still wait for. Jobs of
+/// earlier sessions may have ended meanwhile, so nothing of the new session keeps them alive.
 struct gateway_ref {
     process_ref process;
     gateway_session session{};
--- a/tests/gateway/gateway.cpp
+++ b/tests/gateway/gateway.cpp
@@ -20,6 +20,25 @@
     std::vector<gateway::leader_ref> cancelled_at;
 };
 
+/// Gateway that follows a first leader, and a job that it may submit.
+struct gateway_fixture {
+    gateway_fixture() {
+        set_log_level(log_level::error);
+        job.id = job_id{"00000000000000aa"};
+        job.steps.push_back({1, {1'000, 1, 0}, milliseconds{50}, {}, {}, {}, 0});
+        subject.set_leader(first, started, started);
+    }
+
+    void submit() { subject.submit(gateway::request_token{1}, job, {}, milliseconds{1'500}, started); }
+
+    recorded_ports out;
+    const time_point started{seconds{500}};
+    const gateway::leader_ref first{host_id{"b"}, leader_term{1}};
+    const gateway::leader_ref second{host_id{"c"}, leader_term{2}};
+    job::definition job;
+    gateway::gateway subject{{host_id{"a"}, incarnation{1}}, out, out, started};
+};
+
 } // namespace
 
 SCENARIO("Callers that arrive before a leader is elected wait for one", "[gateway]") {
@@ -54,19 +73,11 @@
 
 // Guards against a false refusal: a caller was told that its job had not run, though a second leader had started it.
 SCENARIO("A refusal is passed on only if a single leader has had the job", "[gateway]") {
-    set_log_level(log_level::error);
-    recorded_ports out;
-    const time_point started{seconds{500}};
-    const gateway::leader_ref first{host_id{"b"}, leader_term{1}};
-    const gateway::leader_ref second{host_id{"c"}, leader_term{2}};
+    gateway_fixture fixture;
+    auto &[out, started, first, second, job, gateway] = fixture;
     const job::answer refusal{job::outcome::refused, errc::overloaded, milliseconds{100}};
-    gateway::gateway gateway{{host_id{"a"}, incarnation{1}}, out, out, started};
-    job::definition job;
-    job.id = job_id{"00000000000000aa"};
-    job.steps.push_back({1, {1'000, 1, 0}, milliseconds{50}, {}, {}, {}, 0});
-    gateway.set_leader(first, started, started);
     const gateway::answer_origin first_session{first, gateway.self().session};
-    gateway.submit(gateway::request_token{1}, job, {}, milliseconds{1'500}, started);
+    fixture.submit();
 
     GIVEN("the only leader that has had it") {
         gateway.answered(first_session, job.id, refusal, started + milliseconds{50});
@@ -108,17 +119,9 @@
 
 // Guards against a second start by a leader that cannot know what the first one still starts.
 SCENARIO("A new leader is told until when runs of the earlier one may be active", "[gateway]") {
-    set_log_level(log_level::error);
-    recorded_ports out;
-    const time_point started{seconds{500}};
-    const gateway::leader_ref first{host_id{"b"}, leader_term{1}};
-    const gateway::leader_ref second{host_id{"c"}, leader_term{2}};
-    gateway::gateway gateway{{host_id{"a"}, incarnation{1}}, out, out, started};
-    job::definition job;
-    job.id = job_id{"00000000000000aa"};
-    job.steps.push_back({1, {1'000, 1, 0}, milliseconds{50}, {}, {}, {}, 0});
-    gateway.set_leader(first, started, started);
-    gateway.submit(gateway::request_token{1}, job, {}, milliseconds{1'500}, started);
+    gateway_fixture fixture;
+    auto &[out, started, first, second, job, gateway] = fixture;
+    fixture.submit();
     const auto lost_at = started + milliseconds{20};
     const auto starts_end_at = lost_at + milliseconds{400};
 
@@ -151,19 +154,11 @@
 }
 
 // Guards against a second run of a job that has been answered: the leader before had ended it, and the present one did not
-// learn of that (walk seeds 141, 197, 207, 252, 293 and 319).
+// learn of that (walk seeds 141, 197, 252, 293 and 319).
 SCENARIO("The present leader learns that an earlier one has ended a job", "[gateway]") {
-    set_log_level(log_level::error);
-    recorded_ports out;
-    const time_point started{seconds{500}};
-    const gateway::leader_ref first{host_id{"b"}, leader_term{1}};
-    const gateway::leader_ref second{host_id{"c"}, leader_term{2}};
-    gateway::gateway gateway{{host_id{"a"}, incarnation{1}}, out, out, started};
-    gateway.set_leader(first, started, started);
-    job::definition job;
-    job.id = job_id{"00000000000000aa"};
-    job.steps.push_back({1, {1'000, 1, 0}, milliseconds{50}, {}, {}, {}, 0});
-    gateway.submit(gateway::request_token{1}, job, {}, milliseconds{1'500}, started);
+    gateway_fixture fixture;
+    auto &[out, started, first, second, job, gateway] = fixture;
+    fixture.submit();
     const job::answer completed{job::outcome::completed, errc::ok, {}};
 
     GIVEN("a job that was passed to a second leader") {
--- a/tests/member/restarts.cpp
+++ b/tests/member/restarts.cpp
@@ -35,6 +35,13 @@
     return world.leader() == 0 ? 1 : 0;
 }
 
+/// Kills a host and starts it again.
+void restart(pool_world &world, std::size_t host, milliseconds down) {
+    world.kill(host);
+    world.run(down);
+    world.start(host);
+}
+
 void check_promises(pool_world &world) {
     world.set_load(0);
     world.run(seconds{14});
@@ -56,20 +63,14 @@
         world.set_load(moderate_load);
         world.run(seconds{3});
         WHEN("a follower is killed, and its callers send their requests again") {
-            const auto host = follower(world);
-            world.kill(host);
-            world.run(milliseconds{down});
-            world.start(host);
+            restart(world, follower(world), milliseconds{down});
             world.run(seconds{4});
             THEN("no task runs twice, and the leader drops the jobs in time") {
                 check_promises(world);
             }
         }
         WHEN("the leader is killed, and its callers send their requests again") {
-            const auto host = world.leader();
-            world.kill(host);
-            world.run(milliseconds{down});
-            world.start(host);
+            restart(world, world.leader(), milliseconds{down});
             world.run(seconds{4});
             THEN("no task runs twice, and the leader drops the jobs in time") {
                 check_promises(world);
@@ -78,10 +79,8 @@
         WHEN("a follower is killed twice in a row, its wall clock set back meanwhile") {
             const auto host = follower(world);
             for(int count = 0; count < 2; ++count) {
-                world.kill(host);
                 world.step_clock(host, seconds{-30});
-                world.run(milliseconds{down});
-                world.start(host);
+                restart(world, host, milliseconds{down});
                 world.run(milliseconds{250});
             }
             world.run(seconds{4});
@@ -107,10 +106,8 @@
                 world.delay_connections(0.3, milliseconds{100 + random() % 600});
                 world.run(milliseconds{random() % 100});
             }
-            world.kill(host);
             world.step_clock(host, milliseconds{static_cast<std::int64_t>(random() % 20'000) - 10'000});
-            world.run(milliseconds{random() % 1'000});
-            world.start(host);
+            restart(world, host, milliseconds{random() % 1'000});
             world.run(milliseconds{random() % 1'500});
         }
         THEN("no task runs twice, and leaders drop the jobs of processes that are gone in time") {
--- a/tests/pool/scheduler.cpp
+++ b/tests/pool/scheduler.cpp
@@ -21,7 +21,7 @@
 }
 
 /// Scheduler with recorded orders and simulated targets; a test advances time and delivers each answer itself.
-struct scheduler_fixture final : order_port, answer_port {
+struct scheduler_fixture : order_port, answer_port {
     scheduler_fixture() : subject{*this, *this, lease::token_source{1}} { set_log_level(log_level::error); }
 
     void start(const start_order &order) override { starts.push_back(order); }
@@ -439,41 +439,51 @@
     }
 }
 
+/// Fixture with one run, of a job named "one", that lasts longer than a leader holds a job for a lost gateway.
+struct single_run_fixture : scheduler_fixture {
+    explicit single_run_fixture(const gateway_ref &from) {
+        add_targets(1);
+        subject.confirm_gateway(from, now + milliseconds{450});
+        submit_again(from);
+        answer_starts();
+    }
+
+    void submit_again(const gateway_ref &from) { submit_from(from, "one", 1, 0, milliseconds{1'000}); }
+
+    /// Advances time, in which a gateway confirms all the while.
+    void confirm_for(const gateway_ref &gateway, milliseconds length) {
+        constexpr milliseconds interval{50};
+        for(milliseconds passed{0}; passed < length; passed += interval) {
+            now += interval;
+            subject.confirm_gateway(gateway, now + milliseconds{450});
+            tick();
+            answer_reports();
+        }
+    }
+};
+
 // Guards against a leader that took a restarted host for the process that had submitted a job: it renewed the leases of jobs that
 // nobody waited for, and a request that was sent again to another cell ran beside them (review/1).
 SCENARIO("Only the process that submitted a job keeps it alive", "[pool]") {
     const auto killed = gateway_of("c");
     const gateway_ref next{{host_id{"c"}, incarnation{2}}, gateway_session{1}};
-    constexpr milliseconds longer_than_the_budget{1'000};
-    scheduler_fixture fixture;
-    fixture.add_targets(1);
-    fixture.subject.confirm_gateway(killed, fixture.now + milliseconds{450});
-    fixture.submit_from(killed, "one", 1, 0, longer_than_the_budget);
-    fixture.answer_starts();
+    single_run_fixture fixture{killed};
     REQUIRE(fixture.answered_starts.size() == 1);
 
     GIVEN("a host whose next process confirms at once, and goes on to do so") {
-        const auto run = [&](milliseconds length) {
-            for(milliseconds passed{0}; passed < length; passed += milliseconds{50}) {
-                fixture.now += milliseconds{50};
-                fixture.subject.confirm_gateway(next, fixture.now + milliseconds{450});
-                fixture.tick();
-                fixture.answer_reports();
-            }
-        };
         WHEN("it submits nothing") {
-            run(milliseconds{700});
+            fixture.confirm_for(next, milliseconds{700});
             CHECK(fixture.stops.empty());
-            run(milliseconds{50});
+            fixture.confirm_for(next, milliseconds{50});
             THEN("the run is stopped when the grace period of the killed process ends") {
                 REQUIRE(fixture.stops.size() == 1);
                 CHECK(fixture.stops.front().task.job == job_id{"one"});
             }
         }
         WHEN("its caller sends the request again to the same host") {
-            run(milliseconds{100});
-            fixture.submit_from(next, "one", 1, 0, longer_than_the_budget);
-            run(milliseconds{850});
+            fixture.confirm_for(next, milliseconds{100});
+            fixture.submit_again(next);
+            fixture.confirm_for(next, milliseconds{850});
             THEN("the run goes on, and only the next process gets the answer") {
                 CHECK(fixture.stops.empty());
                 fixture.end(fixture.answered_starts.front().task, lease::run_end::done);
@@ -484,20 +494,20 @@
             }
         }
         WHEN("the request is sent again, and then cancelled") {
-            run(milliseconds{100});
-            fixture.submit_from(next, "one", 1, 0, longer_than_the_budget);
+            fixture.confirm_for(next, milliseconds{100});
+            fixture.submit_again(next);
             fixture.subject.cancel(next, job_id{"one"}, fixture.now);
-            run(milliseconds{750});
+            fixture.confirm_for(next, milliseconds{750});
             THEN("the run is stopped") {
                 REQUIRE_FALSE(fixture.stops.empty());
                 CHECK(fixture.stops.front().task.job == job_id{"one"});
             }
         }
         WHEN("the request is sent again, and a cancelling by the killed process arrives late") {
-            run(milliseconds{100});
-            fixture.submit_from(next, "one", 1, 0, longer_than_the_budget);
+            fixture.confirm_for(next, milliseconds{100});
+            fixture.submit_again(next);
             fixture.subject.cancel(killed, job_id{"one"}, fixture.now);
-            run(milliseconds{850});
+            fixture.confirm_for(next, milliseconds{850});
             THEN("the run goes on") {
                 CHECK(fixture.stops.empty());
             }
@@ -513,42 +523,29 @@
 }
 
 // Guards against a leader that was silent for a while, kept the jobs of gateways that had gone to another leader and come back, and
-// ran what had been answered or cancelled meanwhile (review/5; walk seeds 312, 319 and 382).
+// ran what had been answered or cancelled meanwhile (review/5; walk seeds 312 and 382).
 SCENARIO("A gateway that comes back to a leader vouches only for what it submits again", "[pool]") {
-    constexpr milliseconds longer_than_the_budget{1'000};
     const auto before = gateway_of("c");
     const gateway_ref back{before.process, gateway_session{3}};
-    scheduler_fixture fixture;
-    fixture.add_targets(1);
-    fixture.subject.confirm_gateway(before, fixture.now + milliseconds{450});
-    fixture.submit_from(before, "one", 1, 0, longer_than_the_budget);
-    fixture.answer_starts();
+    single_run_fixture fixture{before};
     REQUIRE(fixture.answered_starts.size() == 1);
-    const auto run = [&](milliseconds length) {
-        for(milliseconds passed{0}; passed < length; passed += milliseconds{50}) {
-            fixture.now += milliseconds{50};
-            fixture.subject.confirm_gateway(back, fixture.now + milliseconds{450});
-            fixture.tick();
-            fixture.answer_reports();
-        }
-    };
     GIVEN("a gateway that does not submit its job again") {
-        run(milliseconds{700});
+        fixture.confirm_for(back, milliseconds{700});
         CHECK(fixture.stops.empty());
-        run(milliseconds{50});
+        fixture.confirm_for(back, milliseconds{50});
         THEN("the run is stopped when the grace period of the earlier session ends") {
             REQUIRE(fixture.stops.size() == 1);
             CHECK(fixture.stops.front().task.job == job_id{"one"});
         }
     }
     GIVEN("a gateway that submits its job again") {
-        run(milliseconds{100});
+        fixture.confirm_for(back, milliseconds{100});
         CHECK_FALSE(fixture.subject.answer_query(back, job_id{"one"}));
-        fixture.submit_from(back, "one", 1, 0, longer_than_the_budget);
+        fixture.submit_again(back);
         CHECK(fixture.subject.answer_query(back, job_id{"one"}));
         WHEN("a cancelling of the earlier session arrives late") {
             fixture.subject.cancel(before, job_id{"one"}, fixture.now);
-            run(milliseconds{850});
+            fixture.confirm_for(back, milliseconds{850});
             THEN("the run goes on, and the gateway gets one answer") {
                 CHECK(fixture.stops.empty());
                 fixture.end(fixture.answered_starts.front().task, lease::run_end::done);
