--- a/src/heathermoor/adapter/http_server.cpp
+++ b/src/heathermoor/adapter/http_server.cpp
@@ -2,11 +2,13 @@
 
 #include "heathermoor/core/id.hpp"
 #include "heathermoor/core/log.hpp"
+#include <algorithm>
 #include <array>
 #include <asio/buffer.hpp>
 #include <asio/write.hpp>
 #include <charconv>
 #include <fmt/format.h>
+#include <poll.h>
 
 namespace heathermoor::adapter {
 
@@ -51,12 +53,27 @@
     return {asio::ip::make_address(address.substr(0, colon), error), port};
 }
 
+/// @brief Whether the peer of a socket has closed or reset its connection; reads nothing.
+[[nodiscard]] bool has_ended(asio::ip::tcp::socket::native_handle_type socket) noexcept {
+    ::pollfd state{socket, POLLRDHUP, 0};
+    return ::poll(&state, 1, 0) > 0 && (state.revents & (POLLRDHUP | POLLHUP | POLLERR)) != 0;
+}
+
 } // namespace internal
 
 class http_server::connection : public std::enable_shared_from_this<connection> {
   public:
     connection(http_server &server, asio::ip::tcp::socket socket)
-        : m_server{server}, m_socket{std::move(socket)}, m_touched{server.m_now}, m_reader{http_reader::kind::request} {}
+        : m_server{server}, m_socket{std::move(socket)}, m_touched{server.m_now}, m_reader{http_reader::kind::request} {
+        m_next_arrival.connection = server.m_next_connection++;
+        m_next_arrival.accepted = server.clock_now();
+    }
+
+    [[nodiscard]] request_arrival arrival() {
+        auto result = m_arrival;
+        result.ended = internal::has_ended(m_socket.native_handle());
+        return result;
+    }
 
     void read() {
         m_reading = true;
@@ -122,6 +139,7 @@
         if(m_pending.empty() && !m_reader.started() && m_request == 0) {
             m_touched = m_server.m_now;
         }
+        note_read();
         m_pending.append(m_buffer.data(), length);
         if(m_request == 0 && !m_writing) {
             parse();
@@ -131,6 +149,24 @@
         }
     }
 
+    void note_read() {
+        const auto now = m_server.clock_now();
+        const auto unread = m_server.unread(now);
+        if(m_pending.empty() && !m_reader.started()) {
+            m_next_arrival.first_read = now;
+            m_next_arrival.unread = unread;
+        }
+        m_next_arrival.last_read = now;
+        m_next_arrival.unread = std::max(m_next_arrival.unread, unread);
+    }
+
+    /// Completes the arrival of the present request; bytes that were read with its end count for the next one.
+    void take_arrival() {
+        ++m_next_arrival.ordinal;
+        m_arrival = m_next_arrival;
+        m_next_arrival.first_read = m_next_arrival.last_read;
+    }
+
     void parse() {
         if(m_pending.empty()) {
             return;
@@ -144,6 +180,7 @@
             m_close = m_close || !message.keep_alive;
             m_request = m_server.m_next_request++;
             m_server.m_requests.emplace(m_request, weak_from_this());
+            take_arrival();
             m_server.m_handle(http_request_id{m_request}, std::move(message));
             return;
         }
@@ -186,6 +223,9 @@
     std::string m_pending;
     std::string m_output;
     std::uint64_t m_request{};
+    /// Arrival of the open request, and of the one that is read.
+    request_arrival m_arrival;
+    request_arrival m_next_arrival;
     bool m_reading{};
     bool m_writing{};
     bool m_close{};
@@ -240,6 +280,12 @@
     m_connections.erase(closed.get());
 }
 
+request_arrival http_server::arrival(http_request_id request) const {
+    const auto found = m_requests.find(raw(request));
+    const auto requester = found != m_requests.end() ? found->second.lock() : nullptr;
+    return requester ? requester->arrival() : request_arrival{};
+}
+
 void http_server::reply(http_request_id request, const http_response &response) {
     const auto found = m_requests.find(raw(request));
     if(found == m_requests.end()) {
--- a/src/heathermoor/adapter/http_server.hpp
+++ b/src/heathermoor/adapter/http_server.hpp
@@ -1,7 +1,9 @@
 #pragma once
 
 #include "heathermoor/adapter/http_message.hpp"
+#include "heathermoor/adapter/loop_watch.hpp"
 #include "heathermoor/core/time.hpp"
+#include "heathermoor/port/ports.hpp"
 #include <asio/io_context.hpp>
 #include <asio/ip/tcp.hpp>
 #include <cstdint>
@@ -34,6 +36,23 @@
     std::string body;
 };
 
+/// @brief When, and over which connection, a request arrived.
+struct request_arrival {
+    /// Number of the connection, unique within one server; counted from one.
+    std::uint64_t connection{};
+    /// Which request it is on its connection; counted from one.
+    std::uint64_t ordinal{};
+    time_point accepted;
+    /// When its first byte was read.
+    time_point first_read;
+    /// When its last byte was read, or a later one that was read before the request was handled.
+    time_point last_read;
+    /// Upper bound of the time for which bytes of it lay unread (`loop_watch`); negative if not known.
+    duration unread{milliseconds{-1}};
+    /// The client had closed or reset the connection by the time of the question.
+    bool ended{};
+};
+
 /// @brief Asynchronous HTTP/1.1 server with persistent connections.
 ///
 /// A connection is read while its request is open, so that a client that disconnects
@@ -67,6 +86,19 @@
     /// @param limits New limits.
     void set_limits(const http_server_limits &limits) noexcept { m_limits = limits; }
 
+    /// @brief Measures from now on when connections and requests arrive; without it all times of an arrival are zero.
+    /// @param clock Clock of the times; must outlive the server.
+    /// @param watch Bounds how long bytes lay unread; must outlive the server.
+    void measure_arrivals(const port::clock_port &clock, const loop_watch &watch) noexcept {
+        m_clock = &clock;
+        m_watch = &watch;
+    }
+
+    /// @brief When, and over which connection, a request arrived.
+    /// @param request Identifier from the request handler.
+    /// @return Arrival; empty if the request is answered or abandoned.
+    [[nodiscard]] request_arrival arrival(http_request_id request) const;
+
     /// @brief Sends the response to a request.
     /// @param request Identifier from the request handler; ignored if answered already or abandoned.
     /// @param response Response to send.
@@ -100,6 +132,8 @@
     void accept();
     [[nodiscard]] std::vector<std::shared_ptr<connection>> all_connections() const;
     void remove(const std::shared_ptr<connection> &closed);
+    [[nodiscard]] time_point clock_now() const { return m_clock != nullptr ? m_clock->now() : time_point{}; }
+    [[nodiscard]] duration unread(time_point now) const noexcept { return m_watch != nullptr ? m_watch->unread(now) : milliseconds{-1}; }
 
     asio::ip::tcp::acceptor m_acceptor;
     request_handler m_handle;
@@ -109,6 +143,9 @@
     std::unordered_map<std::uint64_t, std::weak_ptr<connection>> m_requests;
     std::size_t m_responses{};
     std::uint64_t m_next_request{1};
+    std::uint64_t m_next_connection{1};
+    const port::clock_port *m_clock{};
+    const loop_watch *m_watch{};
     time_point m_now{};
     bool m_stopping{};
 };
--- a/src/heathermoor/heathermoor.hpp
+++ b/src/heathermoor/heathermoor.hpp
@@ -11,6 +11,7 @@
 #include "heathermoor/adapter/http_server.hpp"
 #include "heathermoor/adapter/http_targets.hpp"
 #include "heathermoor/adapter/listen_queue.hpp"
+#include "heathermoor/adapter/loop_watch.hpp"
 #include "heathermoor/adapter/platform_client.hpp"
 #include "heathermoor/adapter/service_metrics.hpp"
 #include "heathermoor/adapter/system_clock_port.hpp"
--- a/tests/adapter/http.cpp
+++ b/tests/adapter/http.cpp
@@ -14,6 +14,13 @@
 
 namespace {
 
+/// Clock that the test advances.
+struct manual_clock final : port::clock_port {
+    [[nodiscard]] time_point now() const override { return time; }
+    [[nodiscard]] milliseconds unix_now() const override { return {}; }
+    time_point time{seconds{1}};
+};
+
 /// Server that echoes method, target and body of each request, or leaves requests open while `answering` is false.
 struct echo_server {
     echo_server()
@@ -21,6 +28,7 @@
               context,
               [this](http_request_id id, http_message message) {
                   last = id;
+                  arrival = server.arrival(id);
                   ++requests;
                   if(answering) {
                       server.reply(id, {200, {{"Content-Type", "text/plain"}}, message.method + " " + message.target + " " + message.body});
@@ -56,6 +64,7 @@
     http_server server;
     std::uint16_t port{};
     http_request_id last{};
+    request_arrival arrival;
     int requests{};
     int abandoned{};
     bool answering{true};
@@ -116,6 +125,109 @@
     }
 }
 
+SCENARIO("The watch of a loop bounds how long bytes lay unread", "[adapter][http]") {
+    const time_point start{seconds{1}};
+    loop_watch watch;
+    THEN("the bound is unknown until the timer was called twice") {
+        CHECK(watch.unread(start) < duration{});
+        watch.timer_called(start);
+        CHECK(watch.unread(start) < duration{});
+    }
+    THEN("the bound reaches back to the time at which the call before the latest was due") {
+        watch.timer_called(start);
+        watch.timer_called(start + milliseconds{25});
+        CHECK(watch.unread(start + milliseconds{30}) == milliseconds{30});
+        watch.timer_called(start + milliseconds{1'300});
+        CHECK(watch.unread(start + milliseconds{1'310}) == milliseconds{1'285});
+    }
+}
+
+SCENARIO("The server knows when, and over which connection, a request arrived", "[adapter][http]") {
+    manual_clock clock;
+    loop_watch watch;
+    echo_server echo;
+    echo.server.measure_arrivals(clock, watch);
+    const auto start = clock.time;
+    watch.timer_called(start);
+    watch.timer_called(start);
+    asio::ip::tcp::socket socket{echo.context};
+    socket.connect({asio::ip::make_address("127.0.0.1"), echo.port});
+    echo.run_until([&] { return echo.server.connections() == 1; });
+    const auto send = [&](const std::string &bytes) {
+        asio::write(socket, asio::buffer(bytes));
+        echo.context.run_for(std::chrono::milliseconds{50});
+    };
+    GIVEN("a request in two parts, 40 ms after the connection and 10 ms apart") {
+        clock.time = start + milliseconds{40};
+        send("GET /a HTTP/1.1\r\n");
+        REQUIRE(echo.requests == 0);
+        watch.timer_called(start + milliseconds{45});
+        watch.timer_called(start + milliseconds{45});
+        clock.time = start + milliseconds{50};
+        send("\r\n");
+        REQUIRE(echo.requests == 1);
+        THEN("both times, and the longer of the two bounds, are known") {
+            CHECK(echo.arrival.connection == 1);
+            CHECK(echo.arrival.ordinal == 1);
+            CHECK(echo.arrival.accepted == start);
+            CHECK(echo.arrival.first_read == start + milliseconds{40});
+            CHECK(echo.arrival.last_read == start + milliseconds{50});
+            CHECK(echo.arrival.unread == milliseconds{40});
+            CHECK_FALSE(echo.arrival.ended);
+        }
+        THEN("the next request of the connection is counted and has times of its own") {
+            clock.time = start + milliseconds{60};
+            send("GET /b HTTP/1.1\r\n\r\n");
+            REQUIRE(echo.requests == 2);
+            CHECK(echo.arrival.connection == 1);
+            CHECK(echo.arrival.ordinal == 2);
+            CHECK(echo.arrival.accepted == start);
+            CHECK(echo.arrival.first_read == start + milliseconds{60});
+            CHECK(echo.arrival.last_read == start + milliseconds{60});
+            CHECK(echo.arrival.unread == milliseconds{15});
+        }
+        THEN("another connection has another number") {
+            clock.time = start + milliseconds{70};
+            (void)echo.exchange("GET /c HTTP/1.1\r\nConnection: close\r\n\r\n");
+            CHECK(echo.arrival.connection == 2);
+            CHECK(echo.arrival.ordinal == 1);
+            CHECK(echo.arrival.accepted == start + milliseconds{70});
+        }
+    }
+    GIVEN("two requests that come at once") {
+        clock.time = start + milliseconds{40};
+        send("GET /a HTTP/1.1\r\n\r\nGET /b HTTP/1.1\r\n\r\n");
+        THEN("the second one was read with the first") {
+            REQUIRE(echo.requests == 2);
+            CHECK(echo.arrival.ordinal == 2);
+            CHECK(echo.arrival.first_read == start + milliseconds{40});
+            CHECK(echo.arrival.last_read == start + milliseconds{40});
+        }
+    }
+    GIVEN("a client that closes its connection before its request is read") {
+        echo.answering = false;
+        asio::write(socket, asio::buffer(std::string{"GET /a HTTP/1.1\r\n\r\n"}));
+        socket.close();
+        echo.run_until([&] { return echo.requests == 1; });
+        THEN("the connection is known to have ended when the request is handled") {
+            CHECK(echo.arrival.ended);
+            echo.run_until([&] { return echo.abandoned == 1; });
+            CHECK(echo.server.arrival(echo.last).connection == 0);
+        }
+    }
+    GIVEN("a client that resets its connection before its request is read") {
+        echo.answering = false;
+        asio::write(socket, asio::buffer(std::string{"GET /a HTTP/1.1\r\n\r\n"}));
+        socket.set_option(asio::socket_base::linger{true, 0});
+        socket.close();
+        echo.context.run_for(std::chrono::milliseconds{50});
+        THEN("a request that is handled all the same has an ended connection") {
+            CHECK((echo.requests == 0 || echo.arrival.ended));
+            CHECK(echo.server.connections() == 0);
+        }
+    }
+}
+
 SCENARIO("The client tells an unsent call from an unanswered one", "[adapter][http]") {
     echo_server echo;
     const system_clock_port clock;
