Tests of requests that are repeated at a host of another cell, failing

Callers saw TWICE: a task at work on two targets at the same time. A request whose connection breaks is sent again at any host; two hosts of two cells pass both copies to two leaders, which know nothing of each other's jobs.

--- a/tests/support/pool_world.hpp
+++ b/tests/support/pool_world.hpp
@@ -53,6 +53,12 @@
         milliseconds longest_run{350};
         /// Time from a request until its caller stops waiting.
         milliseconds caller_deadline{1'500};
+        /// Share of the jobs, from 0 to 1, that a caller sends a second time, to any host, while the first request may be open.
+        double repeated{};
+        /// Latest time of the second request after the first one.
+        milliseconds latest_repeat{};
+        /// Latest time, after the second request, at which the connection of one of the two ends; zero for none.
+        milliseconds latest_break{};
     };
 
     explicit pool_world(options chosen);
@@ -176,6 +182,8 @@
     void send_job();
     void send_job_of(const job_kind &kind);
     void submit(const job_id &job, std::uint32_t attempt);
+    void repeat_at_random(const job_id &job);
+    void break_connection(const job_id &job, bool latest);
     void reply(gateway::request_token request, const job::answer &answer);
     void retry_call(const open_call &call);
     void advance_targets();
--- a/tests/support/pool_world_callers.cpp
+++ b/tests/support/pool_world_callers.cpp
@@ -3,6 +3,7 @@
 #include "heathermoor/core/event.hpp"
 #include <algorithm>
 #include <fmt/format.h>
+#include <iterator>
 
 namespace heathermoor::test {
 
@@ -11,6 +12,9 @@
 /// Time after which a caller without an answer sends its request again.
 constexpr duration resubmission_delay = milliseconds{1'300};
 
+/// Requests that a caller sends for a job in all.
+constexpr std::uint32_t max_attempts = 3;
+
 /// Time that a job needs beside its longest run: two intervals of the timer until it is placed and its end is seen, and messages.
 constexpr duration job_overhead = 2 * tick_interval + 4 * latency;
 
@@ -27,6 +31,37 @@
     const auto id = definition.id;
     m_jobs[id].definition = std::move(definition);
     submit(id, 1);
+    if(m_options.repeated > 0 && std::uniform_real_distribution<double>{}(m_random) < m_options.repeated) {
+        repeat_at_random(id);
+    }
+}
+
+void pool_world::repeat_at_random(const job_id &job) {
+    const auto draw = [this](milliseconds latest) {
+        return microseconds{static_cast<std::int64_t>(m_random() % (static_cast<std::uint64_t>(microseconds{latest}.count()) + 1))};
+    };
+    const auto repeat = draw(m_options.latest_repeat);
+    at(repeat, [this, job] { submit(job, max_attempts); });
+    if(m_options.latest_break > milliseconds{0}) {
+        const bool latest = m_random() % 2 == 0;
+        at(repeat + draw(m_options.latest_break), [this, job, latest] { break_connection(job, latest); });
+    }
+}
+
+void pool_world::break_connection(const job_id &job, bool latest) {
+    const auto of_job = [&job](const auto &item) { return item.second.job == job; };
+    const auto first = std::find_if(m_callers.begin(), m_callers.end(), of_job);
+    if(first == m_callers.end()) {
+        return;
+    }
+    const auto last = std::prev(std::find_if(m_callers.rbegin(), m_callers.rend(), of_job).base());
+    const auto [request, call] = latest ? *last : *first;
+    m_callers.erase(request);
+    ++m_outcomes[3];
+    auto &known = m_jobs.at(job);
+    --known.attempts_open;
+    known.answered_unrefused = true;
+    on_host(call.host, call.process, [request = request](member::member &host) { host.abandon(gateway::request_token{request}); });
 }
 
 void pool_world::send_job_of(const job_kind &kind) {
@@ -115,7 +150,6 @@
     auto &job = m_jobs.at(call.job);
     --job.attempts_open;
     job.answered_unrefused = true;
-    constexpr std::uint32_t max_attempts = 3;
     if(!job.run_times.empty()) {
         // Its caller's deadline passes before it would be sent again.
         return;
