Let one of two leaders step down whose leading times differ by about the margin

Each leader compared its own leading time, as of now, with the other's as of its last heartbeat. If one had led about a second longer, the margin, either took itself for the better one, and both stayed for as long as they heard each other.

The other's time now includes the age of its heartbeat, and a leader counts its own time as 200 ms shorter, so that in doubt both step down and one is elected anew.

--- a/src/heathermoor/election/leader_election.cpp
+++ b/src/heathermoor/election/leader_election.cpp
@@ -2,6 +2,7 @@
 
 #include <algorithm>
 #include <tuple>
+#include <utility>
 
 namespace heathermoor::election {
 
@@ -28,6 +29,10 @@
 /// Of two leaders that hear equally many hosts the one that led longer wins, if the difference exceeds this.
 constexpr milliseconds leading_time_margin{1'000};
 
+/// Allowance for the error of another leader's leading time. A leader counts its own time as so much shorter: of two leaders whose
+/// times differ by about the margin, both step down rather than neither.
+constexpr milliseconds leading_time_error{200};
+
 /// Maximum own timer delay that extends the timeout of peers: a late host must not take others for dead.
 constexpr seconds max_lag_allowance{1};
 
@@ -107,17 +112,18 @@
         return left.id < right.id;
     };
     const bool all_giving_up = internal::gives_up_leadership(best_candidate(now));
-    const auto consider = [&](const peer_state &peer) {
+    const auto consider = [&](peer_state peer, duration leading_time_change) {
+        peer.leading_for += leading_time_change;
         if(peer.leading && internal::gives_up_leadership(peer) == all_giving_up && (!best || better(peer, *best))) {
-            best = peer;
+            best = std::move(peer);
         }
     };
     for(const auto &[id, peer]: m_peers) {
         if(is_alive(peer, now)) {
-            consider(peer.state);
+            consider(peer.state, now - peer.heard_at);
         }
     }
-    consider(m_self);
+    consider(m_self, -internal::leading_time_error);
     return best;
 }
 
--- a/tests/election/leader_election.cpp
+++ b/tests/election/leader_election.cpp
@@ -166,3 +166,40 @@
         }
     }
 }
+
+// Guards against two leaders that hear each other and both stay: each counts the other's leading time as of its last heartbeat, so that
+// either takes itself for the better one if their times differ by about the margin.
+SCENARIO("Of two leaders that meet, one stays", "[election]") {
+    const auto apart = GENERATE(range(500, 1'500, 25));
+    GIVEN("two hosts that took the lead apart from each other, " + std::to_string(apart) + " ms one after the other") {
+        time_point now{seconds{100}};
+        peer_state older_state;
+        older_state.id = host_id{"b"};
+        peer_state newer_state;
+        newer_state.id = host_id{"a"};
+        leader_election older{older_state, now};
+        leader_election newer{newer_state, now + milliseconds{apart}};
+        const auto lead_apart = [&](milliseconds length) {
+            for(const auto end = now + length; now < end; now += milliseconds{5}) {
+                (void)older.decide(now);
+                (void)newer.decide(now);
+            }
+        };
+        lead_apart(milliseconds{apart + 2'000});
+        REQUIRE(older.self().leading);
+        REQUIRE(newer.self().leading);
+        WHEN("they hear each other, in heartbeats that are up to 125 ms old") {
+            for(int count = 0; count < 40; ++count) {
+                const auto from_older = older.self();
+                const auto from_newer = newer.self();
+                now += milliseconds{25};
+                older.heartbeat_received(from_newer, now);
+                newer.heartbeat_received(from_older, now);
+                lead_apart(heartbeat_interval);
+            }
+            THEN("one of them leads") {
+                CHECK(older.self().leading != newer.self().leading);
+            }
+        }
+    }
+}
