Start nothing for a request whose caller has left before it is read

A request may lie unread at a busy host, or its connection may wait to be accepted, while its channel breaks and the caller sends it again. A host accepts up to 32 waiting connections in a turn of its event loop; it took one, and one busy host read requests 7 s late.

--- a/src/heathermoor/adapter/http_server.cpp
+++ b/src/heathermoor/adapter/http_server.cpp
@@ -23,6 +23,9 @@
 /// Length of the kernel's accept queue.
 constexpr int listen_backlog = 1'024;
 
+/// Most connections accepted in one turn of the event loop; a turn of a busy host may take longer than callers wait for a connection.
+constexpr int accepts_per_turn = 32;
+
 [[nodiscard]] std::string format_response(const http_response &response, bool close) {
     auto text =
         fmt::format("HTTP/1.1 {} {}\r\nContent-Length: {}\r\n", response.status, http_reason(response.status), response.body.size());
@@ -264,11 +267,8 @@
             return;
         }
         if(!error) {
-            std::error_code ignored;
-            socket.set_option(asio::ip::tcp::no_delay{true}, ignored);
-            auto created = std::make_shared<connection>(*this, std::move(socket));
-            m_connections.emplace(created.get(), created);
-            created->read();
+            admit(std::move(socket));
+            accept_waiting();
         } else {
             log(log_level::warning, "http", "Accepting a connection failed. error={}", error.message());
         }
@@ -276,6 +276,26 @@
     });
 }
 
+void http_server::accept_waiting() {
+    std::error_code error;
+    m_acceptor.non_blocking(true, error);
+    for(int accepted = 1; accepted < internal::accepts_per_turn; ++accepted) {
+        auto socket = m_acceptor.accept(error);
+        if(error) {
+            return;
+        }
+        admit(std::move(socket));
+    }
+}
+
+void http_server::admit(asio::ip::tcp::socket socket) {
+    std::error_code ignored;
+    socket.set_option(asio::ip::tcp::no_delay{true}, ignored);
+    auto created = std::make_shared<connection>(*this, std::move(socket));
+    m_connections.emplace(created.get(), created);
+    created->read();
+}
+
 void http_server::remove(const std::shared_ptr<connection> &closed) {
     m_connections.erase(closed.get());
 }
--- a/src/heathermoor/adapter/http_server.hpp
+++ b/src/heathermoor/adapter/http_server.hpp
@@ -130,6 +130,9 @@
     class connection;
 
     void accept();
+    /// Accepts the connections that wait beside the one that was just accepted.
+    void accept_waiting();
+    void admit(asio::ip::tcp::socket socket);
     [[nodiscard]] std::vector<std::shared_ptr<connection>> all_connections() const;
     void remove(const std::shared_ptr<connection> &closed);
     [[nodiscard]] time_point clock_now() const { return m_clock != nullptr ? m_clock->now() : time_point{}; }
--- a/tests/platform/repeated_requests.cpp
+++ b/tests/platform/repeated_requests.cpp
@@ -164,3 +164,30 @@
         }
     }
 }
+
+// Guards against runs for a caller who is gone: the request is read late, when its connection has ended already.
+SCENARIO("A request whose caller has left before it is read starts nothing", "[platform][repeated-requests]") {
+    GIVEN("a host that stands still while requests arrive and their callers leave") {
+        platform::standin::deployment_options options;
+        options.program = HEATHERMOOR_PLATFORM_PROGRAM;
+        deployment all{options};
+        for(std::size_t host = 0; host < all.hosts(); ++host) {
+            all.start(host);
+        }
+        REQUIRE(all.wait_ready(all.hosts(), timeout));
+        all.run_for(milliseconds{1'000});
+        all.pause(0);
+        for(std::size_t job = 0; job < jobs; ++job) {
+            all.send_copies(tasks_per_job, work, {request_copy{0, milliseconds{0}, milliseconds{20}}});
+        }
+        all.run_for(milliseconds{200});
+        WHEN("the host goes on") {
+            all.resume(0);
+            all.run_for(milliseconds{1'500});
+            THEN("no task has been started") {
+                CHECK(all.counts().starts == 0);
+                CHECK(all.counts().open == 0);
+            }
+        }
+    }
+}
