Keep one cell at a time on a job, by a lock at the job's home cell

Callers saw TWICE: a task at work on two targets at once. Two copies of one request reached hosts of two cells (two failure domains, or one that is divided), and the leader of a job followed from the gateway that took it; cells knew nothing of each other's jobs.

Each job has a home cell, by rendezvous hashing of its id. A leader asks the leader of the home before it schedules a job. While another cell has the lock the job waits; it gets that cell's final answer, or the lock once no run there can be active. Lists of all locks every 300 ms make up for lost messages and lost leaders. A home that does not answer for 100 ms is passed over, since a failure domain that is cut off has to serve on; when it answers later that another cell has the job, the later one is given up and waits.

--- a/src/heathermoor/cell/cell_plan.cpp
+++ b/src/heathermoor/cell/cell_plan.cpp
@@ -4,6 +4,7 @@
 #include "heathermoor/core/rendezvous.hpp"
 #include <algorithm>
 #include <cmath>
+#include <set>
 #include <string>
 #include <vector>
 
@@ -55,17 +56,18 @@
     return find_cell(domain, target.str());
 }
 
-std::size_t cell_plan::size() const noexcept {
-    std::size_t result = 0;
-    bool shared_counted = false;
+std::vector<cell_id> cell_plan::all() const {
+    std::set<failure_domain_id> names{m_shared_name};
     for(const auto &[domain, name]: m_cell_domains) {
-        const auto cells = m_cell_counts.find(name);
-        result += cells == m_cell_counts.end() ? 1 : cells->second;
-        shared_counted = shared_counted || name == m_shared_name;
+        names.insert(name);
     }
-    if(!shared_counted) {
-        const auto cells = m_cell_counts.find(m_shared_name);
-        result += cells == m_cell_counts.end() ? 1 : cells->second;
+    std::vector<cell_id> result;
+    for(const auto &name: names) {
+        const auto cells = m_cell_counts.find(name);
+        const auto count = cells == m_cell_counts.end() ? 1 : cells->second;
+        for(std::uint32_t index = 0; index < count; ++index) {
+            result.push_back({name, index});
+        }
     }
     return result;
 }
--- a/src/heathermoor/cell/cell_plan.hpp
+++ b/src/heathermoor/cell/cell_plan.hpp
@@ -5,6 +5,7 @@
 #include <cstddef>
 #include <cstdint>
 #include <map>
+#include <vector>
 
 namespace heathermoor::cell {
 
@@ -23,7 +24,7 @@
 /// The plan depends only on the number of targets in each failure domain, so hosts with the
 /// same list compute the same plan. A failure domain with enough targets has its own cells, so
 /// that it keeps working in a partition; the others share cells. Large ones are split by hash.
-/// Safety does not depend on the plan: fencing tokens exclude a second leader at each target.
+/// Fencing tokens exclude a second leader at each target whatever the plan; that a job has one leader rests on its lock (`lock`).
 class cell_plan {
   public:
     /// @brief Creates a plan with a single cell.
@@ -45,9 +46,13 @@
     /// @return Cell that schedules it.
     [[nodiscard]] cell_id of(const failure_domain_id &domain, const target_id &target) const;
 
+    /// @brief All cells.
+    /// @return Cells in ascending order, at least one.
+    [[nodiscard]] std::vector<cell_id> all() const;
+
     /// @brief Number of cells.
     /// @return Count, at least one.
-    [[nodiscard]] std::size_t size() const noexcept;
+    [[nodiscard]] std::size_t size() const { return all().size(); }
 
     friend bool operator==(const cell_plan &, const cell_plan &) = default;
 
--- a/src/heathermoor/host/node.cpp
+++ b/src/heathermoor/host/node.cpp
@@ -122,6 +122,7 @@
     case wire::envelope::kPoolRoutes:
     case wire::envelope::kPoolTargets:
     case wire::envelope::kPoolLearned:
+    case wire::envelope::kPoolLocked:
     case wire::envelope::BODY_NOT_SET:
         break;
     }
--- a/src/heathermoor/member/member.cpp
+++ b/src/heathermoor/member/member.cpp
@@ -152,11 +152,18 @@
         return;
     }
     m_cells = std::move(plan);
-    m_cell = m_cells.of(m_settings.domain, m_settings.self);
+    const auto earlier_cell = std::exchange(m_cell, m_cells.of(m_settings.domain, m_settings.self));
     m_cells_changed_at = at;
     m_targets_changed = true;
     m_scheduler.forget_other_schedulers();
     m_contacts.set_plan(m_cells);
+    m_locks.set_cells(m_cells.all(), at);
+    if(m_leading) {
+        if(earlier_cell != m_cell) {
+            m_locks.set_leader(earlier_cell, std::nullopt, at);
+        }
+        m_locks.set_leader(m_cell, gateway::leader_ref{m_settings.self, m_term}, at);
+    }
     m_election.retain([this](const host_id &host) { return m_contacts.in_own_cell(host); });
     log_event(log_level::info, "member", "cells_changed",
               {{"cells", m_cells.size()}, {"cell", m_cell.domain}, {"index", m_cell.index}, {"hosts", m_election.members(at).size()}});
@@ -307,11 +314,13 @@
         m_targets_changed = true;
         log_event(log_level::info, "member", "lead_taken", {{"term", m_term}, {"hears", m_election.self().heard_hosts}});
         update_targets();
+        start_locks(now);
         m_contacts.make_cell_due();
     } else if(!lead && m_leading) {
         log_event(log_level::info, "member", "lead_given_up", {{"term", m_term}, {"follows", chosen ? *chosen : host_id{}}});
         m_leading = false;
         m_scheduler.resign();
+        m_locks.clear();
         m_contacts.make_cell_due();
     }
     std::optional<gateway::leader_ref> leader;
@@ -358,6 +367,7 @@
         m_scheduler.confirm_gateway(m_gateway.self(), at + lease::host_confirmation_time);
         const metrics::work_meter::span work{m_ports.work, metrics::work_part::holding};
         m_scheduler.tick(at, m_ports.clock.unix_now());
+        tick_locks(at);
         send_statistics(at);
     }
     pull_from_peers(at);
--- a/src/heathermoor/member/member.hpp
+++ b/src/heathermoor/member/member.hpp
@@ -7,6 +7,8 @@
 #include "heathermoor/contact/process_history.hpp"
 #include "heathermoor/election/leader_election.hpp"
 #include "heathermoor/gateway/gateway.hpp"
+#include "heathermoor/lock/lock_client.hpp"
+#include "heathermoor/lock/lock_table.hpp"
 #include "heathermoor/metrics/work_meter.hpp"
 #include "heathermoor/pool/scheduler.hpp"
 #include "heathermoor/port/ports.hpp"
@@ -177,6 +179,10 @@
     /// @return Scheduler, whose state is stale on a follower.
     [[nodiscard]] const pool::scheduler &scheduler() const noexcept { return m_scheduler; }
 
+    /// @brief Locks of the jobs that this host schedules; active only while it leads.
+    /// @return Client, whose counters cover the whole life of the process.
+    [[nodiscard]] const lock::lock_client &locks() const noexcept { return m_locks; }
+
     /// @brief Leader of the cell as this host sees it.
     /// @return Leader and term; none while no leader is known.
     [[nodiscard]] const std::optional<gateway::leader_ref> &leader() const noexcept { return m_leader; }
@@ -236,6 +242,13 @@
         bool leading{};
     };
 
+    /// @brief Which requests about locks are sent at once.
+    enum class lock_flush : std::uint8_t {
+        /// Those that a job waits for, here or in another cell.
+        urgent,
+        all,
+    };
+
     [[nodiscard]] time_point now() const { return m_ports.clock.now(); }
     [[nodiscard]] process_ref self() const { return {m_settings.self, m_settings.process}; }
     /// Gateway that sent a message.
@@ -262,6 +275,27 @@
     void handle_query(const wire::envelope &message);
     void handle_answer(const wire::envelope &message);
     void handle_pull(const wire::envelope &message);
+    void handle_locks(const wire::envelope &message);
+    /// Sends replies to the leaders that they are for, and an answer to the sender of requests in any case.
+    void answer_locks(const process_ref &sender, const std::vector<lock::addressed_reply> &replies, const wire::pool_locks &asked);
+    /// Passes requests to the table of this host.
+    [[nodiscard]] std::vector<lock::addressed_reply> ask_table(const lock::lock_batch &batch, const lock::holder_ref &holder);
+    void send_locks(const host_id &to, const lock::lock_batch &batch);
+    void send_locks(const host_id &to, wire::envelope message);
+    /// This host as a holder of locks, while it leads.
+    [[nodiscard]] lock::holder_ref lock_holder() const;
+    void start_locks(time_point now);
+    void tick_locks(time_point now);
+    /// Sends what is due, and schedules, gives up and answers the jobs whose locks have been decided.
+    void settle_locks(lock_flush flush);
+    void release_closed();
+    bool send_lock_requests(lock_flush flush);
+    bool give_up_conflicts();
+    bool schedule_ready();
+    void note_cell_leader(const wire::envelope &message);
+    void note_cell_leader(const cell::cell_id &cell, const gateway::leader_ref &leader);
+    /// Asks hosts of cells whose leader is not known, or does not answer, which one it is.
+    void search_cell_leaders(time_point now);
     void decide_leader(time_point now);
     /// Time from which the present leader starts no more tasks for this host, if the host leaves it now.
     [[nodiscard]] time_point leader_starts_end_at(time_point now) const;
@@ -295,6 +329,9 @@
     std::size_t m_domain_targets{};
     time_point m_cells_changed_at{};
     pool::scheduler m_scheduler;
+    lock::lock_client m_locks;
+    lock::lock_table m_lock_table;
+    time_point m_next_leader_search{};
     std::map<host_id, peer_record> m_peers;
     std::deque<wire::envelope> m_inbox;
     std::optional<gateway::leader_ref> m_leader;
--- a/src/heathermoor/member/member_messages.cpp
+++ b/src/heathermoor/member/member_messages.cpp
@@ -43,6 +43,7 @@
     case wire::envelope::kPoolJob:
     case wire::envelope::kPoolCancelled:
     case wire::envelope::kPoolAsked:
+    case wire::envelope::kPoolLocked:
         return metrics::work_part::jobs;
     default:
         return metrics::work_part::answers;
@@ -81,9 +82,11 @@
         send_heartbeats(at);
     }
     if(m_leading) {
+        settle_locks(lock_flush::urgent);
         const metrics::work_meter::span work{m_ports.work, metrics::work_part::placing};
         m_scheduler.place(now());
         deliver_local();
+        settle_locks(lock_flush::urgent);
     }
 }
 
@@ -132,7 +135,9 @@
         break;
     case wire::envelope::kPoolCancelled:
         if(m_leading && message.pool_cancelled().term() == raw(m_term)) {
-            m_scheduler.cancel(gateway_of(message), job_id{message.pool_cancelled().id()}, now());
+            const job_id id{message.pool_cancelled().id()};
+            m_locks.cancel(gateway_of(message), id);
+            m_scheduler.cancel(gateway_of(message), id, now());
         }
         break;
     case wire::envelope::kPoolAsked:
@@ -144,6 +149,9 @@
     case wire::envelope::kPoolPulled:
         handle_pull(message);
         break;
+    case wire::envelope::kPoolLocked:
+        handle_locks(message);
+        break;
     case wire::envelope::kPoolRoutes:
         (void)apply_config(from_wire(message.pool_routes()), host_id{message.from()});
         break;
@@ -195,6 +203,8 @@
     }
     if(m_cells.of(domain, from) == m_cell) {
         handle_cell_heartbeat(message, stepped_down);
+    } else {
+        note_cell_leader(message);
     }
 }
 
@@ -305,7 +315,8 @@
         return;
     }
     m_scheduler.confirm_gateway(from, confirmed_until);
-    m_scheduler.submit(std::move(*work), at);
+    m_locks.submit(std::move(*work), at);
+    settle_locks(lock_flush::urgent);
 }
 
 void member::handle_query(const wire::envelope &message) {
@@ -314,7 +325,7 @@
     }
     const auto from = gateway_of(message);
     for(const auto &id: message.pool_asked().ids()) {
-        if(!m_scheduler.answer_query(from, job_id{id})) {
+        if(!m_scheduler.answer_query(from, job_id{id}) && !m_locks.waits(from, job_id{id})) {
             wire::envelope reply;
             reply.mutable_pool_answered()->set_id(id);
             reply.mutable_pool_answered()->set_not_known(true);
--- a/src/heathermoor/pool/scheduler.cpp
+++ b/src/heathermoor/pool/scheduler.cpp
@@ -78,6 +78,7 @@
     m_orphan_ends.clear();
     m_gateways_confirmed_until.clear();
     m_recent_answers.clear();
+    m_closed.clear();
     m_reports_due.clear();
     m_settling_until.reset();
 }
@@ -177,10 +178,12 @@
 }
 
 bool scheduler::has_confirmed_gateway(const open_job &job, time_point now) const {
-    return std::any_of(job.gateways.begin(), job.gateways.end(), [&](const gateway_ref &gateway) {
-        const auto known = m_gateways_confirmed_until.find(gateway);
-        return known != m_gateways_confirmed_until.end() && now < known->second;
-    });
+    return std::any_of(job.gateways.begin(), job.gateways.end(), [&](const gateway_ref &gateway) { return is_confirmed(gateway, now); });
+}
+
+bool scheduler::is_confirmed(const gateway_ref &gateway, time_point now) const {
+    const auto known = m_gateways_confirmed_until.find(gateway);
+    return known != m_gateways_confirmed_until.end() && now < known->second;
 }
 
 bool scheduler::cannot_start_in_time(const open_job &job, time_point now) const {
@@ -357,6 +360,9 @@
     if(std::any_of(slots.begin(), slots.end(), [](const task_slot &slot) { return may_be_active(slot); })) {
         return;
     }
+    const auto &job = found->second;
+    const auto earlier_runs_end_at = earlier_runs_ended(job, now) ? now : job.earlier_runs_end_at;
+    m_closed.push_back({id, job.ever_started, past_answer(id), earlier_runs_end_at});
     auto next = std::move(found->second.next);
     m_jobs.erase(found);
     if(next) {
@@ -364,6 +370,36 @@
     }
 }
 
+std::optional<job::answer> scheduler::past_answer(const job_id &id) const {
+    const auto past = m_recent_answers.find(id);
+    return past == m_recent_answers.end() ? std::nullopt : std::optional{past->second.answer};
+}
+
+std::vector<submission> scheduler::give_up(const job_id &id, time_point now) {
+    const auto found = m_jobs.find(id);
+    if(found == m_jobs.end() || found->second.closing) {
+        return {};
+    }
+    auto &job = found->second;
+    std::vector<submission> result;
+    for(const auto &gateway: job.gateways) {
+        submission work;
+        work.job = job.job;
+        work.queue = job.queue;
+        work.from = gateway;
+        work.age = now - job.sent_at;
+        work.remaining = job.deadline + internal::answer_margin - now;
+        work.earlier_runs_end_in = std::max(duration::zero(), job.earlier_runs_end_at - now);
+        work.may_have_run = true;
+        work.earlier = job.earlier;
+        result.push_back(std::move(work));
+    }
+    log_event(log_level::info, "pool", "job_given_up", {{"job", id}, {"callers", result.size()}});
+    close(job, now);
+    erase_if_closed(id, now);
+    return result;
+}
+
 void scheduler::tick(time_point now, milliseconds unix_now) {
     request_due_reports(now);
     m_holder.tick(now, unix_now);
--- a/src/heathermoor/pool/scheduler.hpp
+++ b/src/heathermoor/pool/scheduler.hpp
@@ -18,6 +18,7 @@
 #include <string_view>
 #include <tuple>
 #include <unordered_map>
+#include <utility>
 #include <vector>
 
 namespace heathermoor::pool {
@@ -41,6 +42,17 @@
     host_id earlier;
 };
 
+/// @brief Job of which no run that this scheduler started can be active any more.
+struct closed_job {
+    job_id id;
+    /// A task may have run.
+    bool may_have_run{};
+    /// Final answer; none if it ended without one.
+    std::optional<job::answer> answer;
+    /// Time until which runs that an earlier scheduler started may be active.
+    time_point earlier_runs_end_at;
+};
+
 /// @brief Counters for metrics and heartbeats.
 struct scheduler_counts {
     std::uint64_t starts{};
@@ -109,6 +121,32 @@
     /// @return False if the job is unknown, or known but not for this session of the gateway.
     [[nodiscard]] bool answer_query(const gateway_ref &from, const job_id &id);
 
+    /// @brief Whether a gateway counts as waiting for its jobs.
+    /// @param gateway Gateway in its present session.
+    /// @param now Monotonic time of the call.
+    /// @return False if its confirmation has expired.
+    [[nodiscard]] bool is_confirmed(const gateway_ref &gateway, time_point now) const;
+
+    /// @brief Whether a job is in memory; answered ones are while runs are still being stopped.
+    /// @param id Job.
+    /// @return True until none of its runs can be active.
+    [[nodiscard]] bool knows(const job_id &id) const { return m_jobs.contains(id); }
+
+    /// @brief Gives up a job that another scheduler has, and stops its runs.
+    /// @param id Job; an unknown one, or one that is closing, is ignored.
+    /// @param now Monotonic time of the call.
+    /// @return Submissions of the gateways that wait for it, as if they came now.
+    [[nodiscard]] std::vector<submission> give_up(const job_id &id, time_point now);
+
+    /// @brief Answer of a job that has ended recently.
+    /// @param id Job.
+    /// @return Final answer; none if the job is not known to have ended.
+    [[nodiscard]] std::optional<job::answer> past_answer(const job_id &id) const;
+
+    /// @brief Jobs that have left the memory since the last call. One may be back, by a submission that waited for its end.
+    /// @return Jobs in the order in which they left.
+    [[nodiscard]] std::vector<closed_job> take_closed() { return std::exchange(m_closed, {}); }
+
     /// @brief Counts the open jobs of a queue of which no task has started.
     /// @param queue Name of the queue.
     /// @return Number of jobs; zero for an unknown queue.
@@ -446,6 +484,7 @@
     log_offset m_catalog_next{};
     /// Times at which reports are needed from all targets.
     std::set<time_point> m_reports_due;
+    std::vector<closed_job> m_closed;
     scheduler_counts m_counts;
     size_ranking m_sizes;
     /// Speed of the fastest targets that count as room, as of the last tick; zero if there was none.
