Tell the replies of a home's present leader from others, and repeat lists until a lost release is made up for

A late reply of an earlier leader of a home made a job that was at work be given up. A guess at the leader of a slow home replaced it, and with it the lists that keep locks alive: now hosts are asked for their leader and only a report changes it, not one of an earlier term while the known leader answers. A home that was silent once was passed over at the next job, however much later. A home that has not decided yet, and says so, is waited for. A release is kept back until runs of an earlier leader have ended, also over a second submission.

Not mended: after a division two cells that are cut from one another's home may each hold one of a job's two homes, and wait for each other.

--- a/src/heathermoor/lock/lock_client.cpp
+++ b/src/heathermoor/lock/lock_client.cpp
@@ -43,7 +43,11 @@
     auto &job = m_jobs[id];
     const auto runs_end_in = std::max<duration>(work.remaining + lease::longest_unreachable_run, work.earlier_runs_end_in);
     job.needed_until = std::max(job.needed_until, now + runs_end_in);
-    job.release_at.reset();
+    if(job.release_at) {
+        job.runs_end_floor = *job.release_at;
+        job.may_have_run = job.may_have_run || job.release.may_have_run;
+        job.release_at.reset();
+    }
     if(job.scheduled) {
         m_ready.push_back(std::move(work));
         return;
@@ -153,7 +157,7 @@
 
 void lock_client::hold_back(const job_id &id, std::vector<pool::submission> submissions, time_point now) {
     const auto found = m_jobs.find(id);
-    if(found == m_jobs.end()) {
+    if(found == m_jobs.end() || found->second.release_at) {
         return;
     }
     auto &job = found->second;
@@ -199,13 +203,15 @@
         return;
     }
     auto &job = found->second;
-    if(now < runs_end_at && !request.answer) {
-        job.release_at = runs_end_at;
-        job.release = request;
-        job.needed_until = std::max(job.needed_until, runs_end_at);
+    job.release = request;
+    job.release.may_have_run = request.may_have_run || job.may_have_run;
+    const auto end = std::max(runs_end_at, job.runs_end_floor);
+    if(now < end && !request.answer) {
+        job.release_at = end;
+        job.needed_until = std::max(job.needed_until, end);
         return;
     }
-    release(request, job);
+    release(job.release, job);
     m_jobs.erase(found);
 }
 
@@ -245,19 +251,17 @@
         return;
     }
     auto &job = found->second;
-    job.may_have_run = job.may_have_run || reply.may_have_run;
-    for(auto &lock: job.homes) {
-        if(lock.asked != from) {
-            continue;
-        }
+    const auto asked = std::find_if(job.homes.begin(), job.homes.end(),
+                                    [&from](const home_lock &lock) { return lock.asked == from && lock.state != request_state::unasked; });
+    if(asked == job.homes.end()) {
+        // An earlier leader of the home; the job asks the present one.
         if(reply.state == lock_state::granted) {
-            lock.state = request_state::granted;
-            lock.held_until = {};
-        } else {
-            lock.state = request_state::asked;
-            lock.held_until = reply.state == lock_state::held ? now + holder_silence_limit : lock.held_until;
+            m_outgoing[from].releases.push_back({reply.id, false, {}});
         }
+        return;
     }
+    job.may_have_run = job.may_have_run || reply.may_have_run;
+    take_reply(*asked, reply.state, now);
     if(reply.state == lock_state::ended) {
         job.answer = reply.answer;
     }
@@ -281,6 +285,26 @@
     schedule_if_locked(reply.id, job, now);
 }
 
+void lock_client::take_reply(home_lock &lock, lock_state state, time_point now) {
+    switch(state) {
+    case lock_state::granted:
+        lock.state = request_state::granted;
+        lock.held_until = {};
+        break;
+    case lock_state::held:
+        lock.state = request_state::asked;
+        lock.held_until = now + holder_silence_limit;
+        break;
+    case lock_state::undecided:
+        lock.state = request_state::asked;
+        lock.waited_since = now;
+        break;
+    case lock_state::ended:
+        lock.state = request_state::asked;
+        break;
+    }
+}
+
 void lock_client::answer_waiting(const job_id &id, locked_job &job) {
     for(const auto &one: job.waiting) {
         ++m_counts.answered;
@@ -318,6 +342,7 @@
         for(auto &lock: job.homes) {
             if(lock.home == cell) {
                 lock.state = request_state::unasked;
+                lock.asked = {};
             }
         }
         ask(id, job, now);
@@ -329,11 +354,15 @@
     return found == m_leaders.end() ? std::nullopt : std::optional{found->second};
 }
 
+bool lock_client::answers(const cell::cell_id &cell, time_point now) const {
+    const auto leader = m_leaders.find(cell);
+    return leader != m_leaders.end() && !is_silent(leader->second.host, now);
+}
+
 std::vector<cell::cell_id> lock_client::cells_without_answer(time_point now) const {
     std::vector<cell::cell_id> result;
     for(const auto &cell: m_homes.cells()) {
-        const auto leader = m_leaders.find(cell);
-        if(leader == m_leaders.end() || is_silent(leader->second.host, now)) {
+        if(!answers(cell, now)) {
             result.push_back(cell);
         }
     }
@@ -359,7 +388,8 @@
         erase_if_unused(id);
     }
     for(const auto &[host, health]: m_health) {
-        if(now - health.listed_at >= keepalive_interval) {
+        // A list without locks makes up for a lost release.
+        if(now - health.listed_at >= keepalive_interval && now - health.used_at < holder_silence_limit) {
             list_locks(host, now);
         }
     }
@@ -375,9 +405,6 @@
             list.acquires.push_back({id, std::max(job.needed_until - now, floor), job.scheduled});
         }
     }
-    if(list.acquires.empty()) {
-        return;
-    }
     auto &batch = m_outgoing[host];
     list.releases = std::move(batch.releases);
     batch = std::move(list);
@@ -403,7 +430,13 @@
             continue;
         }
         auto &health = m_health[item->first];
+        if(now - health.sent_at >= internal::silence_validity) {
+            health.unanswered_since.reset();
+        }
         health.sent_at = now;
+        if(!item->second.acquires.empty() || !releases.empty()) {
+            health.used_at = now;
+        }
         if(!item->second.acquires.empty() && !health.unanswered_since) {
             health.unanswered_since = now;
         }
--- a/src/heathermoor/lock/lock_client.hpp
+++ b/src/heathermoor/lock/lock_client.hpp
@@ -104,6 +104,12 @@
     /// @return Leader as last set; none if it is not known.
     [[nodiscard]] std::optional<gateway::leader_ref> leader_of(const cell::cell_id &cell) const;
 
+    /// @brief Whether the leader of a cell is known and answers.
+    /// @param cell Cell.
+    /// @param now Reading of the monotonic clock.
+    /// @return False from the time limit of a lock on.
+    [[nodiscard]] bool answers(const cell::cell_id &cell, time_point now) const;
+
     /// @brief Cells without a known leader that answers.
     /// @param now Reading of the monotonic clock.
     /// @return Cells.
@@ -184,12 +190,16 @@
         /// When the lock is to be released, for a job that has been closed.
         std::optional<time_point> release_at;
         release_request release;
+        /// Time until which runs that an earlier leader started may be active, from an earlier closing.
+        time_point runs_end_floor;
     };
 
     /// How long a host has left a request without an answer.
     struct home_health {
         std::optional<time_point> unanswered_since;
         time_point sent_at;
+        /// When a request or a release was last sent.
+        time_point used_at;
         /// When the list of all locks there was last sent.
         time_point listed_at;
     };
@@ -201,6 +211,7 @@
     /// Whether a home keeps a job from being scheduled.
     [[nodiscard]] bool blocks(const home_lock &lock, time_point now) const;
     void schedule_if_locked(const job_id &id, locked_job &job, time_point now);
+    static void take_reply(home_lock &lock, lock_state state, time_point now);
     void answer_waiting(const job_id &id, locked_job &job);
     void list_locks(const host_id &host, time_point now);
     void release_due(time_point now);
--- a/src/heathermoor/lock/lock_table.cpp
+++ b/src/heathermoor/lock/lock_table.cpp
@@ -71,6 +71,10 @@
         wait(one, request, from, now);
         return {request.id, lock_state::held, true, {}};
     }
+    if(!held && one.last_cell != from.cell && now < one.shared_until) {
+        wait(one, request, from, now);
+        return {request.id, request.scheduled ? lock_state::undecided : lock_state::held, true, {}};
+    }
     if(!held && !request.scheduled && now < m_collecting_until) {
         wait(one, request, from, now);
         return {request.id, lock_state::undecided, one.may_have_run, {}};
@@ -80,6 +84,7 @@
         one.shared_until = now + holder_silence_limit;
     }
     one.holder = from;
+    one.last_cell = from.cell;
     one.until = std::max(own ? one.until : now, now + request.needed);
     std::erase_if(one.waiters, [&](const waiter &item) { return item.holder == from || item.holder.cell == from.cell; });
     if(one.waiters.empty()) {
@@ -91,12 +96,13 @@
 std::vector<addressed_reply> lock_table::release(const release_request &request, const holder_ref &from, time_point now) {
     heard(from, now);
     const auto found = m_entries.find(request.id);
-    if(found == m_entries.end()) {
+    if(found == m_entries.end() && !request.answer) {
         return {};
     }
-    auto &one = found->second;
+    auto &one = m_entries[request.id];
     std::erase_if(one.waiters, [&](const waiter &item) { return item.holder == from; });
-    if(one.holder != from) {
+    const bool late_answer = request.answer && !is_held(one, now);
+    if(one.holder != from && !late_answer) {
         return {};
     }
     one.holder.reset();
@@ -142,6 +148,7 @@
         const auto next = one.waiters.front();
         one.waiters.erase(one.waiters.begin());
         one.holder = next.holder;
+        one.last_cell = next.holder.cell;
         one.until = next.until;
         replies.push_back({next.holder, {id, lock_state::granted, one.may_have_run, {}}});
     }
@@ -189,8 +196,9 @@
         return;
     }
     m_next_sweep = now + internal::sweep_interval;
-    std::erase_if(m_entries,
-                  [now](const auto &item) { return item.second.holder && item.second.waiters.empty() && now >= item.second.until; });
+    std::erase_if(m_entries, [now](const auto &item) {
+        return item.second.holder && item.second.waiters.empty() && now >= item.second.until && now >= item.second.shared_until;
+    });
     std::erase_if(m_heard, [now](const auto &item) { return now - item.second >= 2 * holder_silence_limit; });
 }
 
--- a/src/heathermoor/lock/lock_table.hpp
+++ b/src/heathermoor/lock/lock_table.hpp
@@ -67,7 +67,8 @@
         std::optional<holder_ref> holder;
         /// Time by which the lock is void in any case.
         time_point until;
-        /// Until when an earlier leader of the holder's cell may still run the job.
+        /// Cell of the latest holder, and until when an earlier leader of it may still run the job.
+        cell::cell_id last_cell;
         time_point shared_until;
         std::vector<waiter> waiters;
         bool may_have_run{};
--- a/src/heathermoor/member/member.hpp
+++ b/src/heathermoor/member/member.hpp
@@ -292,10 +292,12 @@
     bool send_lock_requests(lock_flush flush);
     bool give_up_conflicts();
     bool schedule_ready();
-    void note_cell_leader(const wire::envelope &message);
+    /// Notes what a host says of its cell: the term in which it leads, zero if it does not, and the leader that it follows.
+    void note_leader_report(const wire::envelope &message, leader_term own_term, const gateway::leader_ref &followed);
     void note_cell_leader(const cell::cell_id &cell, const gateway::leader_ref &leader);
     /// Asks hosts of cells whose leader is not known, or does not answer, which one it is.
     void search_cell_leaders(time_point now);
+    void ask_for_leader(const cell::cell_id &cell, time_point now);
     void decide_leader(time_point now);
     /// Time from which the present leader starts no more tasks for this host, if the host leaves it now.
     [[nodiscard]] time_point leader_starts_end_at(time_point now) const;
@@ -332,6 +334,8 @@
     lock::lock_client m_locks;
     lock::lock_table m_lock_table;
     time_point m_next_leader_search{};
+    /// Host of each cell that was last asked for its leader.
+    std::map<cell::cell_id, host_id> m_asked_for_leader;
     std::map<host_id, peer_record> m_peers;
     std::deque<wire::envelope> m_inbox;
     std::optional<gateway::leader_ref> m_leader;
--- a/src/heathermoor/member/member_locks.cpp
+++ b/src/heathermoor/member/member_locks.cpp
@@ -48,15 +48,17 @@
     }
 }
 
-void member::note_cell_leader(const wire::envelope &message) {
-    const auto &beat = message.pool_beat();
+void member::note_leader_report(const wire::envelope &message, leader_term own_term, const gateway::leader_ref &followed) {
     const host_id from{message.from()};
     const auto cell = m_cells.of(failure_domain_id{message.domain()}, from);
     const auto known = m_locks.leader_of(cell);
-    if(beat.leading()) {
-        note_cell_leader(cell, {from, leader_term{beat.term()}});
-    } else if(!beat.follows().empty() && (!known || raw(known->term) < beat.follows_term())) {
-        note_cell_leader(cell, {host_id{beat.follows()}, leader_term{beat.follows_term()}});
+    const bool replaceable = !known || known->host == from || !m_locks.answers(cell, now());
+    if(raw(own_term) != 0) {
+        if(replaceable || raw(known->term) < raw(own_term)) {
+            note_cell_leader(cell, {from, own_term});
+        }
+    } else if(!followed.host.empty() && followed.host != from && (!known || known->host == from || raw(known->term) < raw(followed.term))) {
+        note_cell_leader(cell, followed);
     }
 }
 
@@ -66,24 +68,30 @@
     }
     m_next_leader_search = now + internal::leader_search_interval;
     for(const auto &cell: m_locks.cells_without_answer(now)) {
-        if(cell == m_cell) {
-            continue;
-        }
-        const auto known = m_locks.leader_of(cell);
-        const auto linked = [&](const auto &item) {
-            return now - item.second.heard_at < internal::linked_host_validity && m_cells.of(item.second.domain, item.first) == cell;
-        };
-        auto next = known ? m_peers.upper_bound(known->host) : m_peers.begin();
-        next = std::find_if(next, m_peers.end(), linked);
-        if(next == m_peers.end()) {
-            next = std::find_if(m_peers.begin(), m_peers.end(), linked);
-        }
-        if(next != m_peers.end()) {
-            m_locks.set_leader(cell, gateway::leader_ref{next->first, leader_term{}}, now);
+        if(cell != m_cell) {
+            ask_for_leader(cell, now);
         }
     }
 }
 
+void member::ask_for_leader(const cell::cell_id &cell, time_point now) {
+    const auto linked = [&](const auto &item) {
+        return now - item.second.heard_at < internal::linked_host_validity && m_cells.of(item.second.domain, item.first) == cell;
+    };
+    auto &last = m_asked_for_leader[cell];
+    auto next = std::find_if(m_peers.upper_bound(last), m_peers.end(), linked);
+    if(next == m_peers.end()) {
+        next = std::find_if(m_peers.begin(), m_peers.end(), linked);
+    }
+    if(next == m_peers.end()) {
+        return;
+    }
+    last = next->first;
+    wire::envelope message;
+    message.mutable_pool_locked()->set_asks_leader(true);
+    send_locks(last, std::move(message));
+}
+
 void member::send_locks(const host_id &to, const lock::lock_batch &batch) {
     wire::envelope message;
     auto &body = *message.mutable_pool_locked();
@@ -115,12 +123,7 @@
     const process_ref sender{host_id{message.from()}, incarnation{message.incarnation()}};
     const failure_domain_id domain{message.domain()};
     add_host(sender.host, domain);
-    const auto sender_cell = m_cells.of(domain, sender.host);
-    if(body.term() != 0) {
-        note_cell_leader(sender_cell, {sender.host, leader_term{body.term()}});
-    } else if(!body.follows().empty()) {
-        note_cell_leader(sender_cell, {host_id{body.follows()}, leader_term{body.follows_term()}});
-    }
+    note_leader_report(message, leader_term{body.term()}, {host_id{body.follows()}, leader_term{body.follows_term()}});
     if(body.answers()) {
         m_locks.heard(sender.host);
     }
@@ -154,7 +157,7 @@
 
 void member::answer_locks(const process_ref &sender, const std::vector<lock::addressed_reply> &replies, const wire::pool_locks &asked) {
     std::map<process_ref, wire::envelope> messages;
-    if(asked.acquires_size() > 0) {
+    if(asked.acquires_size() > 0 || asked.asks_leader()) {
         messages[sender].mutable_pool_locked()->set_answers(true);
     }
     for(const auto &[to, reply]: replies) {
--- a/src/heathermoor/member/member_messages.cpp
+++ b/src/heathermoor/member/member_messages.cpp
@@ -204,7 +204,8 @@
     if(m_cells.of(domain, from) == m_cell) {
         handle_cell_heartbeat(message, stepped_down);
     } else {
-        note_cell_leader(message);
+        note_leader_report(message, beat.leading() ? leader_term{beat.term()} : leader_term{},
+                           {host_id{beat.follows()}, leader_term{beat.follows_term()}});
     }
 }
 
--- a/tests/lock/lock_table.cpp
+++ b/tests/lock/lock_table.cpp
@@ -84,14 +84,22 @@
         WHEN("the later leader releases it, while the earlier one may still run the job") {
             CHECK(table.acquire(request(job), b, now).state == lock_state::held);
             CHECK(table.release({job, false, {}}, successor, now).empty());
-            THEN("another cell gets it once the runs of the earlier one have ended") {
+            THEN("another cell gets it once the runs of the earlier one have ended, however often it asks") {
                 CHECK(table.tick(now).empty());
+                CHECK(table.acquire(request(job), b, now + milliseconds{100}).state == lock_state::held);
                 now += lock::holder_silence_limit;
                 table.heard(b, now);
                 CHECK(table.tick(now).size() == 1);
             }
         }
     }
+    GIVEN("an answer whose acquire was lost") {
+        const job_id other{"0000000000000002"};
+        CHECK(table.release({other, true, job::answer{job::outcome::completed, errc::ok, {}}}, a, now).empty());
+        THEN("another cell gets it") {
+            CHECK(table.acquire(request(other), b, now).state == lock_state::ended);
+        }
+    }
     GIVEN("a holder that belongs to another cell since the deployment was divided anew") {
         auto moved = a;
         moved.cell.index = 1;
--- a/tests/member/repeated_requests.cpp
+++ b/tests/member/repeated_requests.cpp
@@ -145,7 +145,8 @@
     }
 }
 
-SCENARIO("Requests that are repeated while hosts fail run once, but for the time in which a home has no leader", "[.][member][fault][repeat-faults]") {
+SCENARIO("Requests that are repeated while hosts fail run once, but for the time in which a home has no leader",
+         "[.][member][fault][repeat-faults]") {
     set_chosen_log_level();
     const auto seed = GENERATE(from_range(test::chosen_seeds(20)));
     GIVEN(fmt::format("hosts that are killed, frozen and cut off, seed {}", seed)) {
