Take a reply of a leader for all homes that it leads

After a division one host may be known as the leader of both homes of a job. Its reply counted for the first one only, and the job waited 100 ms for the other. By reading; no test of its own.

--- a/src/heathermoor/lock/lock_client.cpp
+++ b/src/heathermoor/lock/lock_client.cpp
@@ -251,9 +251,14 @@
         return;
     }
     auto &job = found->second;
-    const auto asked = std::find_if(job.homes.begin(), job.homes.end(),
-                                    [&from](const home_lock &lock) { return lock.asked == from && lock.state != request_state::unasked; });
-    if(asked == job.homes.end()) {
+    bool was_asked = false;
+    for(auto &lock: job.homes) {
+        if(lock.asked == from && lock.state != request_state::unasked) {
+            take_reply(lock, reply.state, now);
+            was_asked = true;
+        }
+    }
+    if(!was_asked) {
         // An earlier leader of the home; the job asks the present one.
         if(reply.state == lock_state::granted) {
             m_outgoing[from].releases.push_back({reply.id, false, {}});
@@ -261,7 +266,6 @@
         return;
     }
     job.may_have_run = job.may_have_run || reply.may_have_run;
-    take_reply(*asked, reply.state, now);
     if(reply.state == lock_state::ended) {
         job.answer = reply.answer;
     }
