Review: a worker that restarts as another kind gets tasks for its earlier kind (case 9)

Cause: labels and capacity of a target come from the host's copy of the list; that the target has restarted since is known from its reports, but the two starts are not compared. Nothing is fixed.

--- a/review/standin-2/cases.cc
+++ b/review/standin-2/cases.cc
@@ -299,18 +299,19 @@
     all.on_step = [&] { stream.step(); };
     all.run_for(milliseconds{3'000});
     constexpr int rounds = 12;
+    constexpr milliseconds down_time{500};
     for(int round = 0; round < rounds; ++round) {
         auto &one = *all.workers().at(static_cast<std::size_t>(round) % all.workers().size());
         if(trouble()) {
             const auto kind = one.kind().label == "a" ? worker_kind{"b", 24'000, 49'152} : worker_kind{"a", 16'000, 32'768};
             all.note(fmt::format("worker {} (kind {}) crashes", one.id(), one.kind().label));
             one.crash();
-            all.run_for(milliseconds{1'000});
+            all.run_for(down_time);
             one.boot(kind);
             all.publish(one);
             all.note(fmt::format("worker {} has started again as kind {}, and its entry is in the store", one.id(), kind.label));
         } else {
-            all.run_for(milliseconds{1'000});
+            all.run_for(down_time);
         }
         all.run_for(milliseconds{2'000});
     }
