--- a/review/standin-2/cases.cc
+++ b/review/standin-2/cases.cc
@@ -250,35 +250,6 @@
     return judge_cancelled(all, jobs);
 }
 
-/// @brief A copy of a request arrives at another host seconds after the response to it; the job has been cancelled meanwhile.
-int late_copy(const std::string &record) {
-    world all{layout{}, record};
-    start_all(all);
-    constexpr int task_ms = 760;
-    constexpr milliseconds limit{1'500};
-    const auto step = json{{"count", 4}, {"cpu", 1'000}, {"mem_mb", 64}, {"est_runtime_ms", task_ms}};
-    std::vector<sent_job> jobs(chains);
-    watch_cancelled(all, jobs);
-    for(auto &job: jobs) {
-        job = {all.new_id(), job_body(task_ms, 1'000, json::array({step})), {}, {}, {}, 0};
-        send(all, job, 0, limit);
-    }
-    all.run_for(milliseconds{200});
-    for(auto &job: jobs) {
-        cancel(all, job, 0);
-    }
-    all.run_for(milliseconds{4'000});
-    auto copies = jobs;
-    if(trouble()) {
-        all.note("a copy of each POST arrives at host 1");
-        for(auto &copy: copies) {
-            send(all, copy, 1, limit);
-        }
-    }
-    all.run_for(milliseconds{4'000});
-    return judge_cancelled(all, jobs);
-}
-
 /// @brief Workers crash and start again under the same id, as another kind.
 int other_kind(const std::string &record) {
     layout plan;
@@ -328,7 +299,6 @@
     review::end_processes_on_signals();
     const std::map<std::string, std::function<int(const std::string &)>> cases{{"hang", &review::hang},
                                                                                {"moved-cancel", &review::moved_cancel},
-                                                                               {"late-copy", &review::late_copy},
                                                                                {"other-kind", &review::other_kind}};
     const auto found = argc == 3 ? cases.find(argv[1]) : cases.end();
     if(found == cases.end()) {
