--- a/review/build-2.sh
+++ b/review/build-2.sh
@@ -1,5 +1,5 @@
 #!/usr/bin/env bash
-# Builds the stand-ins of the cases 6 to 10, after the build of the deploy file.
+# Builds the stand-ins of the cases 6 to 8, after the build of the deploy file.
 set -euo pipefail
 cd "$(dirname "$0")/.."
 cmake --build target --target heathermoor_standin
--- a/review/standin-2/cases.cc
+++ b/review/standin-2/cases.cc
@@ -3,6 +3,7 @@
 #include "world.hpp"
 
 #include <algorithm>
+#include <csignal>
 #include <cstdlib>
 #include <fmt/format.h>
 #include <functional>
@@ -144,6 +145,21 @@
                              watch.count(), silent && spins ? ": it does not hand back the processor" : ""));
         broken = broken || (silent && spins);
     }
+    if(broken) {
+        constexpr milliseconds grace{6'000};
+        for(std::size_t index = 0; index < all.hosts().size(); ++index) {
+            if(all.hosts()[index].pid != 0 && all.hosts()[index].answered_at < watched_from) {
+                all.note(fmt::format("SIGTERM to host {}", index));
+                (void)::kill(all.hosts()[index].pid, SIGTERM);
+            }
+        }
+        all.run_for(grace);
+        for(std::size_t index = 0; index < all.hosts().size(); ++index) {
+            if(all.hosts()[index].pid != 0 && all.hosts()[index].answered_at < watched_from) {
+                all.note(fmt::format("host {} has not ended {} ms after SIGTERM", index, grace.count()));
+            }
+        }
+    }
     return broken ? 1 : 0;
 }
 
@@ -297,9 +313,8 @@
 
 int main(int argc, char **argv) {
     review::end_processes_on_signals();
-    const std::map<std::string, std::function<int(const std::string &)>> cases{{"hang", &review::hang},
-                                                                               {"moved-cancel", &review::moved_cancel},
-                                                                               {"other-kind", &review::other_kind}};
+    const std::map<std::string, std::function<int(const std::string &)>> cases{
+        {"hang", &review::hang}, {"moved-cancel", &review::moved_cancel}, {"other-kind", &review::other_kind}};
     const auto found = argc == 3 ? cases.find(argv[1]) : cases.end();
     if(found == cases.end()) {
         std::cerr << "usage: cases-2 CASE RECORD\n";
