--- a/src/heathermoor/adapter/service_metrics.cpp
+++ b/src/heathermoor/adapter/service_metrics.cpp
@@ -48,6 +48,9 @@
     prometheus::Gauge &open_jobs = gauge("heathermoor_open_jobs", "Jobs of the host's callers that are not answered yet.");
     prometheus::Gauge &scheduled_jobs = gauge("heathermoor_scheduled_jobs", "Jobs in the hands of the host's scheduler.");
     prometheus::Gauge &targets_known = gauge("heathermoor_targets_known", "Targets on the list.");
+    prometheus::Gauge &domains_evacuated = gauge("heathermoor_domains_evacuated", "Failure domains that are being evacuated.");
+    prometheus::Gauge &targets_evacuated =
+        gauge("heathermoor_targets_evacuated", "Targets on which nothing is started because of an evacuation.");
     prometheus::Gauge &targets_without_entry =
         gauge("heathermoor_targets_without_entry", "Targets that have restarted and whose new entry has not been read yet.");
     prometheus::Gauge &config_version = gauge("heathermoor_config_version", "Version of the configuration in force.");
@@ -146,6 +149,8 @@
     all.open_jobs.Set(static_cast<double>(state.open_jobs));
     all.scheduled_jobs.Set(static_cast<double>(state.scheduled_jobs));
     all.targets_known.Set(static_cast<double>(state.targets_known));
+    all.domains_evacuated.Set(static_cast<double>(state.domains_evacuated));
+    all.targets_evacuated.Set(static_cast<double>(state.targets_evacuated));
     all.targets_without_entry.Set(static_cast<double>(state.targets_without_entry));
     all.config_version.Set(static_cast<double>(state.config_version));
     all.config_rejected.Set(state.config_rejected ? 1 : 0);
--- a/src/heathermoor/adapter/service_metrics.hpp
+++ b/src/heathermoor/adapter/service_metrics.hpp
@@ -49,6 +49,10 @@
     std::map<queue_id, pool::queue_counts> queues;
     /// Targets that serve nothing, since their entry on the list is not of the boot that answers.
     std::size_t targets_without_entry{};
+    /// Failure domains that are being evacuated.
+    std::size_t domains_evacuated{};
+    /// Targets on which nothing is started because of that; zero unless the host leads.
+    std::size_t targets_evacuated{};
     /// Effort of placement rounds: waiting jobs looked at, jobs for which a target was sought, targets compared for a task.
     std::uint64_t jobs_examined{};
     std::uint64_t jobs_tried{};
--- a/src/heathermoor/heathermoor.hpp
+++ b/src/heathermoor/heathermoor.hpp
@@ -37,6 +37,7 @@
 #include "heathermoor/core/time.hpp"
 #include "heathermoor/election/claim_scope.hpp"
 #include "heathermoor/election/leader_election.hpp"
+#include "heathermoor/evacuation/evacuation_state.hpp"
 #include "heathermoor/feed/topic_follower.hpp"
 #include "heathermoor/gateway/gateway.hpp"
 #include "heathermoor/host/node.hpp"
--- a/src/heathermoor/member/convert.cpp
+++ b/src/heathermoor/member/convert.cpp
@@ -167,6 +167,26 @@
     return config;
 }
 
+wire::pool_evacuations to_wire(const evacuation::evacuation_state &state) {
+    wire::pool_evacuations message;
+    message.set_next(raw(state.next()));
+    for(const auto &request: state.requests()) {
+        auto &added = *message.add_requests();
+        added.set_domain(request.domain.str());
+        added.set_offset(raw(request.offset));
+    }
+    return message;
+}
+
+std::vector<evacuation::evacuation_request> from_wire(const wire::pool_evacuations &message) {
+    std::vector<evacuation::evacuation_request> requests;
+    requests.reserve(static_cast<std::size_t>(message.requests_size()));
+    for(const auto &request: message.requests()) {
+        requests.push_back({failure_domain_id{request.domain()}, log_offset{request.offset()}, true});
+    }
+    return requests;
+}
+
 wire::pool_catalog to_wire(const std::vector<catalog::catalog_record> &records, log_offset next) {
     wire::pool_catalog message;
     message.set_next(raw(next));
--- a/src/heathermoor/member/convert.hpp
+++ b/src/heathermoor/member/convert.hpp
@@ -1,6 +1,7 @@
 #pragma once
 
 #include "heathermoor/catalog/target_catalog.hpp"
+#include "heathermoor/evacuation/evacuation_state.hpp"
 #include "heathermoor/pool/scheduler.hpp"
 #include "heathermoor/route/route_table.hpp"
 #include "heathermoor/wire/heathermoor.pb.h"
@@ -31,6 +32,16 @@
 /// @return Complete configuration version.
 [[nodiscard]] route::route_config from_wire(const wire::pool_config &message);
 
+/// @brief Converts what is known of evacuations to a wire message.
+/// @param state Requests in force, and up to which offset they are all.
+/// @return Message, ready to be put into an envelope; its age is not set.
+[[nodiscard]] wire::pool_evacuations to_wire(const evacuation::evacuation_state &state);
+
+/// @brief Converts a wire message to requests to evacuate failure domains.
+/// @param message Message as received.
+/// @return Requests in force, not checked.
+[[nodiscard]] std::vector<evacuation::evacuation_request> from_wire(const wire::pool_evacuations &message);
+
 /// @brief Converts catalog records to a wire message; removals are left out.
 /// @param records Entries with their offsets.
 /// @param next Offset after the last record covered.
--- a/src/heathermoor/member/member.cpp
+++ b/src/heathermoor/member/member.cpp
@@ -313,6 +313,7 @@
         m_leading = true;
         m_leading_since = now;
         m_targets_changed = true;
+        m_scheduler.set_uninformed(uninformed(now));
         log_event(log_level::info, "member", "lead_taken", {{"term", m_term}, {"hears", m_election.self().heard_hosts}});
         update_targets();
         start_locks(now);
@@ -369,6 +370,7 @@
         m_scheduler.confirm_gateway(m_gateway.self(), at + lease::host_confirmation_time);
         const metrics::work_meter::span work{m_ports.work, metrics::work_part::holding};
         m_scheduler.set_resuming(m_pauses.unread(at));
+        m_scheduler.set_uninformed(uninformed(at));
         m_scheduler.tick(at, m_ports.clock.unix_now());
         tick_locks(at);
         send_statistics(at);
--- a/src/heathermoor/member/member.hpp
+++ b/src/heathermoor/member/member.hpp
@@ -6,6 +6,7 @@
 #include "heathermoor/contact/peer_directory.hpp"
 #include "heathermoor/contact/process_history.hpp"
 #include "heathermoor/election/leader_election.hpp"
+#include "heathermoor/evacuation/evacuation_state.hpp"
 #include "heathermoor/gateway/gateway.hpp"
 #include "heathermoor/lock/lock_client.hpp"
 #include "heathermoor/lock/lock_table.hpp"
@@ -96,6 +97,12 @@
     /// @return True if the version was applied.
     bool apply_config(route::route_config config, const host_id &peer = {});
 
+    /// @brief Applies what the store has of the operators' requests to evacuate failure domains.
+    /// @param records Requests, and records that take one back, by offset.
+    /// @param next Offset after the last of the operators' records covered, of any kind.
+    /// @param complete The records are a full snapshot; a request that it lacks has been taken back.
+    void apply_evacuations(const std::vector<evacuation::evacuation_request> &records, log_offset next, bool complete);
+
     /// @brief Applies records of the platform's list of targets.
     /// @param records Records by offset.
     /// @param next Offset after the last record covered.
@@ -171,6 +178,10 @@
     /// @return Table; without routes before the first configuration.
     [[nodiscard]] const route::route_table &routes() const noexcept { return m_routes; }
 
+    /// @brief Failure domains that are being evacuated, as this host knows.
+    /// @return State, merged from the platform's store and from peers; its age is that of the configuration.
+    [[nodiscard]] const evacuation::evacuation_state &evacuations() const noexcept { return m_evacuations; }
+
     /// @brief Targets that exist.
     /// @return Catalog, merged from the platform's list and from peers.
     [[nodiscard]] const catalog::target_catalog &catalog() const noexcept { return m_catalog; }
@@ -212,7 +223,7 @@
     /// @return Monitor as of the latest tick.
     [[nodiscard]] const confirmation::confirmation_monitor &confirmations() const noexcept { return m_confirmations; }
 
-    /// @brief When a peer last passed on a configuration version that the store had not returned yet.
+    /// @brief When a peer last passed on a configuration version, or operators' requests, that the store had not returned yet.
     /// @return Monotonic time; empty if none did.
     [[nodiscard]] std::optional<time_point> config_from_peer_at() const noexcept { return m_config_from_peer_at; }
 
@@ -243,6 +254,8 @@
         leader_term term{};
         std::uint64_t config_version{};
         log_offset catalog_next{};
+        /// Offset before which it knows all of the operators' requests.
+        log_offset requests_next{};
         bool leading{};
     };
 
@@ -279,6 +292,12 @@
     void handle_query(const wire::envelope &message);
     void handle_answer(const wire::envelope &message);
     void handle_pull(const wire::envelope &message);
+    /// Merges what a peer knows of evacuations.
+    void take_evacuations(const wire::envelope &message, const wire::pool_evacuations &known);
+    void fill_evacuations(wire::pool_evacuations &body) const;
+    void evacuations_changed(const std::vector<evacuation::evacuation_change> &changes, std::string_view by, double age_ms);
+    /// Whether this host does not know yet what is evacuated, although a peer does, or although it knows no configuration either.
+    [[nodiscard]] bool uninformed(time_point now) const;
     void handle_locks(const wire::envelope &message);
     /// Sends replies to the leaders that they are for, and an answer to the sender of requests in any case.
     void answer_locks(const process_ref &sender, const std::vector<lock::addressed_reply> &replies, const wire::pool_locks &asked);
@@ -316,11 +335,13 @@
     settings m_settings;
     ports m_ports;
     route::route_table m_routes;
+    evacuation::evacuation_state m_evacuations;
     catalog::target_catalog m_catalog;
     confirmation::confirmation_monitor m_confirmations;
     log_offset m_hosts_next{};
     /// Longest list of hosts that a peer has reported, as the offset after its last record.
     log_offset m_peer_hosts_next{};
+    /// When a peer last passed on a version, or requests, that the store had not returned yet.
     std::optional<time_point> m_config_from_peer_at;
     election::leader_election m_election;
     gateway::gateway m_gateway;
--- a/src/heathermoor/member/member_messages.cpp
+++ b/src/heathermoor/member/member_messages.cpp
@@ -154,8 +154,14 @@
         handle_locks(message);
         break;
     case wire::envelope::kPoolRoutes:
+        if(message.pool_routes().has_evacuations()) {
+            take_evacuations(message, message.pool_routes().evacuations());
+        }
         (void)apply_config(from_wire(message.pool_routes()), host_id{message.from()});
         break;
+    case wire::envelope::kPoolEvacuated:
+        take_evacuations(message, message.pool_evacuated());
+        break;
     case wire::envelope::kPoolLearned:
         if(!m_leading) {
             m_statistics_received = true;
@@ -187,6 +193,7 @@
     peer.term = leader_term{beat.term()};
     peer.config_version = beat.config_version();
     peer.catalog_next = log_offset{beat.catalog_next()};
+    peer.requests_next = m_evacuations.may_be_next(log_offset{beat.requests_next()}) ? log_offset{beat.requests_next()} : log_offset{};
     const bool stepped_down = peer.leading && !beat.leading();
     peer.leading = beat.leading();
     const failure_domain_id domain{message.domain()};
@@ -235,7 +242,8 @@
         const auto as_of = echoed_at(message) - age_when_sent;
         m_confirmations.confirm(what, confirmation::source::peer, from, as_of, at);
     };
-    if(m_routes.configured() && beat.config_version() == raw(m_routes.current().version)) {
+    const bool requests_known = m_evacuations.next() >= log_offset{beat.requests_next()};
+    if(requests_known && m_routes.configured() && beat.config_version() == raw(m_routes.current().version)) {
         confirm(confirmation::subject::configuration, beat.config_as_of_us());
     }
     if(m_catalog.next() >= log_offset{beat.catalog_next()}) {
@@ -362,6 +370,14 @@
     if(message.pool_pulled().config() && m_routes.configured()) {
         wire::envelope reply;
         *reply.mutable_pool_routes() = to_wire(m_routes.current());
+        if(m_evacuations.known()) {
+            fill_evacuations(*reply.mutable_pool_routes()->mutable_evacuations());
+        }
+        send(from, std::move(reply));
+    }
+    if(message.pool_pulled().evacuations() && m_evacuations.known()) {
+        wire::envelope reply;
+        fill_evacuations(*reply.mutable_pool_evacuated());
         send(from, std::move(reply));
     }
     if(message.pool_pulled().catalog()) {
@@ -423,6 +439,7 @@
     }
     beat.set_config_version(m_routes.configured() ? raw(m_routes.current().version) : 0);
     beat.set_catalog_next(raw(m_catalog.next()));
+    beat.set_requests_next(raw(m_evacuations.next()));
     fill_confirmations(beat);
     const auto at = now();
     for(const auto &known: m_contacts.next_gossip(at)) {
@@ -476,7 +493,8 @@
         return false;
     }
     const auto own_version = m_routes.configured() ? raw(m_routes.current().version) : 0;
-    return peer.config_version > own_version || (target_list_stale(now) && peer.catalog_next > m_catalog.next());
+    return peer.config_version > own_version || peer.requests_next > m_evacuations.next() ||
+           (target_list_stale(now) && peer.catalog_next > m_catalog.next());
 }
 
 bool member::target_list_stale(time_point now) const {
@@ -508,14 +526,18 @@
     const auto own_version = m_routes.configured() ? raw(m_routes.current().version) : 0;
     const bool newer_config = peer.config_version > own_version;
     const bool newer_catalog = target_list_stale(now) && peer.catalog_next > m_catalog.next();
+    // With the configuration they come anyway.
+    const bool newer_requests = peer.requests_next > m_evacuations.next();
     wire::envelope message;
     message.mutable_pool_pulled()->set_config(newer_config);
     message.mutable_pool_pulled()->set_catalog(newer_catalog);
-    log_event(newer_config ? log_level::info : log_level::debug, "member", "peer_asked",
+    message.mutable_pool_pulled()->set_evacuations(newer_requests && !newer_config);
+    log_event(newer_config || newer_requests ? log_level::info : log_level::debug, "member", "peer_asked",
               {{"peer", id},
                {"config", newer_config},
                {"config_version", own_version},
                {"peer_config_version", peer.config_version},
+               {"requests", newer_requests},
                {"catalog", newer_catalog}});
     m_contacts.connect_until(id, now + internal::introduction_time);
     send(id, std::move(message));
--- a/src/heathermoor/pool/policy.hpp
+++ b/src/heathermoor/pool/policy.hpp
@@ -10,6 +10,9 @@
 /// Minimum retry-after time of a refusal.
 inline constexpr milliseconds min_retry_after{500};
 
+/// Retry-after time of a job that only evacuated targets could run: an evacuation lasts for seconds at least.
+inline constexpr milliseconds evacuated_retry_after{2'000};
+
 /// Chance of ending before the deadline below which a job counts as hopeless.
 inline constexpr double hopeless_chance = 0.03;
 
--- a/src/heathermoor/pool/scheduler.hpp
+++ b/src/heathermoor/pool/scheduler.hpp
@@ -40,6 +40,14 @@
     /// @param catalog_next Offset in the target catalog up to which the two lists are current.
     void set_targets(const std::vector<scoped_target> &targets, std::set<target_id> known, log_offset catalog_next);
 
+    /// @brief Replaces the failure domains that are being evacuated: nothing is started on their targets, what runs there goes on.
+    /// @param domains Failure domains, also ones without a target in scope.
+    void set_evacuated(std::set<failure_domain_id> domains);
+
+    /// @brief Sets whether it is not known yet which failure domains are being evacuated. Nothing is started meanwhile.
+    /// @param uninformed True until the operators' requests have been read or received.
+    void set_uninformed(bool uninformed) noexcept;
+
     /// @brief Drops all targets and jobs without answers; gateways submit their jobs to the next scheduler.
     void resign();
 
@@ -421,6 +429,8 @@
     [[nodiscard]] bool counts_as_room(const held_target &target, time_point now);
     void update_settling(time_point now);
     [[nodiscard]] target_room find_room(time_point now);
+    /// Whether a waiting task of the job could run on evacuated targets and on no others.
+    [[nodiscard]] bool only_on_evacuated(const open_job &job) const;
     /// Starts tasks of a job where there is room; returns whether it started any.
     bool place_job(open_job &job, const speed_range &speeds, std::vector<candidate> &candidates, time_point now);
     void refuse_overload(time_point now);
@@ -464,6 +474,8 @@
     /// Something has changed since the last placement round.
     bool m_place_due{};
     bool m_resuming{};
+    /// It is not known yet which failure domains are being evacuated.
+    bool m_uninformed{};
 };
 
 } // namespace heathermoor::pool
--- a/src/heathermoor/pool/scheduler_placing.cpp
+++ b/src/heathermoor/pool/scheduler_placing.cpp
@@ -107,7 +107,7 @@
     std::int64_t cpu = 0;
     found.least_cpu = least_cpu_needed();
     for(const auto &[id, target]: m_holder.targets()) {
-        if(target.state != hold_state::held || target.silent || !target.entry_applies()) {
+        if(target.state != hold_state::held || target.silent || target.evacuated || !target.entry_applies()) {
             continue;
         }
         const auto free = target.ledger.free();
@@ -296,7 +296,7 @@
 }
 
 void scheduler::place(time_point now) {
-    if(!m_place_due || m_resuming) {
+    if(!m_place_due || m_resuming || m_uninformed) {
         return;
     }
     m_place_due = false;
@@ -347,6 +347,7 @@
 void scheduler::refuse_overload(time_point now) {
     std::vector<std::pair<job_id, milliseconds>> refused;
     const auto room = find_room(now);
+    const bool evacuating = m_holder.evacuated() > 0;
     double ahead_ms = 0;
     for(const auto &[position, job]: m_queue) {
         if(!may_start(*job, now)) {
@@ -357,16 +358,19 @@
         const auto places = std::max(1.0, static_cast<double>(room.places(job->queue.service, job->job.steps.front().need)));
         const auto work_ms = to_ms(job->forecast.typical()) * static_cast<double>(waiting) / places;
         const auto slack_ms = to_ms(latest_start(*job) - now) * internal::waiting_share;
-        if(!job->ever_started && ahead_ms > std::max(0.0, slack_ms)) {
+        const bool evacuated = evacuating && only_on_evacuated(*job);
+        if(!job->ever_started && (evacuated || ahead_ms > std::max(0.0, slack_ms))) {
             log_event(log_level::info, "pool", "job_refused",
                       {{"job", job->job.id},
                        {"ahead_ms", ahead_ms},
                        {"slack_ms", slack_ms},
                        {"places", places},
                        {"targets", m_holder.targets().size()},
+                       {"evacuated", evacuated},
                        {"predicted_ms", job->forecast.typical()},
                        {"fastest_speed", m_fastest}});
-            refused.emplace_back(job->job.id, std::max(internal::min_retry_after, milliseconds{static_cast<std::int64_t>(ahead_ms)}));
+            const auto least_retry = evacuated ? internal::evacuated_retry_after : internal::min_retry_after;
+            refused.emplace_back(job->job.id, std::max(least_retry, milliseconds{static_cast<std::int64_t>(ahead_ms)}));
             continue;
         }
         ahead_ms += work_ms;
--- a/src/heathermoor/pool/target_holder.cpp
+++ b/src/heathermoor/pool/target_holder.cpp
@@ -62,6 +62,7 @@
         target.fenced_pause = fenced_pause;
         target.ledger.set_capacity(entry.capacity);
         target.removed = false;
+        target.evacuated = m_evacuated.contains(entry.domain);
     }
     for(auto target = m_targets.begin(); target != m_targets.end();) {
         if(target->second.removed && !target->second.ledger.busy()) {
@@ -73,6 +74,13 @@
     }
 }
 
+void target_holder::set_evacuated(std::set<failure_domain_id> domains) {
+    m_evacuated = std::move(domains);
+    for(auto &[id, target]: m_targets) {
+        target.evacuated = m_evacuated.contains(target.entry.domain);
+    }
+}
+
 void target_holder::release_all() {
     for(const auto &[id, target]: m_targets) {
         m_orders.release(id);
@@ -418,6 +426,11 @@
     return published != m_idle_published_at.end() && now - published->second < internal::idle_hold_off_time;
 }
 
+std::size_t target_holder::evacuated() const noexcept {
+    return static_cast<std::size_t>(
+        std::count_if(m_targets.begin(), m_targets.end(), [](const auto &item) { return item.second.evacuated && !item.second.removed; }));
+}
+
 std::size_t target_holder::without_entry() const noexcept {
     return static_cast<std::size_t>(std::count_if(m_targets.begin(), m_targets.end(), [](const auto &item) {
         return !item.second.removed && item.second.boot && !item.second.entry_applies();
--- a/src/heathermoor/pool/target_holder.hpp
+++ b/src/heathermoor/pool/target_holder.hpp
@@ -96,6 +96,8 @@
     bool leaving{};
     /// No longer in scope; erased once none of its runs may be active.
     bool removed{};
+    /// Its failure domain is being evacuated: nothing is started here, and what runs goes on.
+    bool evacuated{};
 
     /// @brief Whether the entry describes the boot that answers.
     ///
@@ -104,9 +106,9 @@
     [[nodiscard]] bool entry_applies() const noexcept { return boot == entry.boot; }
 
     /// @brief Whether the target may serve tasks once it is held.
-    /// @return False while it is unresponsive, leaving, out of scope, or known to have restarted since its entry was written.
+    /// @return False while it is unresponsive, leaving, evacuated, out of scope, or known to have restarted since its entry was written.
     [[nodiscard]] bool may_serve() const noexcept {
-        return !silent && !removed && !leaving && !entry.draining && (!boot || entry_applies());
+        return !silent && !removed && !leaving && !evacuated && !entry.draining && (!boot || entry_applies());
     }
 };
 
@@ -129,6 +131,10 @@
     /// @param known Every target that any host may be using, in scope or not.
     void set_targets(const std::vector<scoped_target> &targets, std::set<target_id> known);
 
+    /// @brief Replaces the failure domains that are being evacuated; targets of them stay held.
+    /// @param domains Failure domains, also ones without a target in scope.
+    void set_evacuated(std::set<failure_domain_id> domains);
+
     /// @brief Drops all targets without sending them anything; their runs end with their leases.
     void release_all();
 
@@ -214,6 +220,10 @@
     /// @return Number of targets in scope that serve nothing until their entry is written and read.
     [[nodiscard]] std::size_t without_entry() const noexcept;
 
+    /// @brief Counts the targets on which nothing is started because of an evacuation.
+    /// @return Number of targets in scope, held or not.
+    [[nodiscard]] std::size_t evacuated() const noexcept;
+
     /// @brief Counts the claims sent since the holder was created.
     /// @return Number of claims, including repeated ones.
     [[nodiscard]] std::uint64_t claims() const noexcept { return m_claims; }
@@ -239,6 +249,8 @@
     holder_listener &m_listener;
     lease::token_source m_tokens;
     std::map<target_id, held_target> m_targets;
+    /// Failure domains that are being evacuated.
+    std::set<failure_domain_id> m_evacuated;
     /// Every target that any host may be using.
     std::set<target_id> m_known;
     /// Since when targets are known to be idle.
--- a/src/heathermoor/subscription/ports.hpp
+++ b/src/heathermoor/subscription/ports.hpp
@@ -26,6 +26,11 @@
     /// @return Configuration, or what is malformed; a version is never decoded in part.
     [[nodiscard]] virtual decoded_config decode_config(const std::string &value) const = 0;
 
+    /// @brief Decodes the key of an operators' request to evacuate a failure domain; the value says no more.
+    /// @param key Key of the record.
+    /// @return Failure domain, empty if the key names none; no value for a key of another kind.
+    [[nodiscard]] virtual std::optional<failure_domain_id> decode_evacuation(const std::string &key) const = 0;
+
     /// @brief Decodes an entry of the list of targets.
     /// @param key Key of the record, which names the target.
     /// @param value Value as stored.
--- a/src/heathermoor/subscription/subscriptions.cpp
+++ b/src/heathermoor/subscription/subscriptions.cpp
@@ -95,7 +95,25 @@
     m_follower.tick(now);
 }
 
-void config_subscription::topic_changed(const std::vector<feed::keyed_record> &records, log_offset, bool) {
+void config_subscription::pass_evacuations(const std::vector<feed::keyed_record> &records, log_offset next, bool complete) {
+    std::vector<evacuation::evacuation_request> requests;
+    for(const auto &record: records) {
+        auto domain = m_decoder.decode_evacuation(record.key);
+        if(!domain) {
+            continue;
+        }
+        if(domain->empty() || domain->str().size() > evacuation::max_domain_name) {
+            log_event(log_level::warning, "evacuation", "request_unreadable", {{"key", record.key}, {"offset", record.offset}});
+            continue;
+        }
+        requests.push_back({std::move(*domain), record.offset, record.value.has_value()});
+    }
+    m_member.apply_evacuations(requests, next, complete);
+}
+
+void config_subscription::topic_changed(const std::vector<feed::keyed_record> &records, log_offset next, bool complete) {
+    // Before the configuration, so that no host serves routes without knowing what is evacuated.
+    pass_evacuations(records, next, complete);
     for(const auto &record: records) {
         if(record.key != internal::config_key || !record.value) {
             continue;
--- a/src/heathermoor/subscription/subscriptions.hpp
+++ b/src/heathermoor/subscription/subscriptions.hpp
@@ -7,7 +7,8 @@
 
 namespace heathermoor::subscription {
 
-/// @brief Follows the operators' configuration on the store and passes each version to the member.
+/// @brief Follows the operators' records on the store and passes each version of the configuration, and each request to evacuate a
+/// failure domain, to the member.
 ///
 /// A leader, or a host that no other one confirms, has the configuration confirmed by the store
 /// about once a second. Other hosts wait for a change with one long read, which is replaced as soon as
@@ -45,6 +46,7 @@
     [[nodiscard]] milliseconds wait(time_point now) const;
     [[nodiscard]] bool read_is_suspect(time_point now) const;
     void reject(const decoded_config &decoded, log_offset offset);
+    void pass_evacuations(const std::vector<feed::keyed_record> &records, log_offset next, bool complete);
 
     member::member &m_member;
     const record_decoder &m_decoder;
--- a/tests/member/malformed_messages.cpp
+++ b/tests/member/malformed_messages.cpp
@@ -266,3 +266,74 @@
         CHECK(host.subject->scheduler().open_jobs() == 0);
     }
 }
+
+SCENARIO("What a peer says of evacuations is dropped if it cannot be", "[member][malformed][evacuation]") {
+    leading_host host;
+    host.subject->apply_evacuations({{failure_domain_id{"d"}, log_offset{4}, true}}, log_offset{9}, true);
+    wire::envelope message;
+    message.set_from("peer");
+    message.set_domain("d");
+    message.set_incarnation(3);
+    auto &known = *message.mutable_pool_evacuated();
+    known.set_next(12);
+    auto &request = *known.add_requests();
+    request.set_domain("e");
+    request.set_offset(11);
+    const std::set<failure_domain_id> before{failure_domain_id{"d"}};
+    GIVEN("a list that can be") {
+        host.subject->received(message);
+        CHECK(host.subject->evacuations().domains() == std::set<failure_domain_id>{failure_domain_id{"e"}});
+        CHECK(host.subject->evacuations().next() == log_offset{12});
+    }
+    GIVEN("an offset that no log has") {
+        known.set_next(std::numeric_limits<std::uint64_t>::max());
+        host.subject->received(message);
+        CHECK(host.subject->evacuations().domains() == before);
+        CHECK(host.subject->evacuations().next() == log_offset{9});
+    }
+    GIVEN("an offset far ahead of the own one") {
+        known.set_next(9 + evacuation::max_advance + 1);
+        host.subject->received(message);
+        CHECK(host.subject->evacuations().next() == log_offset{9});
+    }
+    GIVEN("a request with such an offset") {
+        request.set_offset(std::numeric_limits<std::uint64_t>::max());
+        host.subject->received(message);
+        CHECK(host.subject->evacuations().domains() == before);
+    }
+    GIVEN("a request for no failure domain") {
+        request.set_domain("");
+        host.subject->received(message);
+        CHECK(host.subject->evacuations().domains() == before);
+    }
+    GIVEN("more requests than there can be") {
+        for(std::size_t count = 0; count < evacuation::max_evacuations; ++count) {
+            known.add_requests()->set_domain("e" + std::to_string(count));
+        }
+        host.subject->received(message);
+        CHECK(host.subject->evacuations().domains() == before);
+    }
+    GIVEN("absurd times") {
+        message.set_sent_us(std::numeric_limits<std::int64_t>::min());
+        message.set_echo_us(std::numeric_limits<std::int64_t>::max());
+        known.set_as_of_us(std::numeric_limits<std::int64_t>::max());
+        host.subject->received(message);
+        THEN("they are only logged") {
+            CHECK(host.subject->evacuations().next() == log_offset{12});
+        }
+    }
+    GIVEN("a heartbeat that claims to know more than there can be") {
+        message.mutable_pool_beat()->set_requests_next(std::numeric_limits<std::uint64_t>::max());
+        host.subject->received(message);
+        host.run(seconds{2});
+        CHECK(host.subject->evacuations().domains() == before);
+    }
+    GIVEN("the same list with the routes") {
+        const auto list = message.pool_evacuated();
+        *message.mutable_pool_routes()->mutable_evacuations() = list;
+        message.mutable_pool_routes()->set_version(1);
+        host.subject->received(message);
+        CHECK(host.subject->ready());
+        CHECK(host.subject->evacuations().domains() == std::set<failure_domain_id>{failure_domain_id{"e"}});
+    }
+}
--- a/tests/platform/codec.cpp
+++ b/tests/platform/codec.cpp
@@ -120,3 +120,13 @@
         CHECK(rejected.problem == "routes.1");
     }
 }
+
+SCENARIO("Requests to evacuate are known by their keys", "[platform][codec][evacuation]") {
+    CHECK(decode_evacuation("evacuate/caroni") == failure_domain_id{"caroni"});
+    CHECK(decode_evacuation("evacuate/") == failure_domain_id{});
+    CHECK(decode_evacuation("evacuate/a/b") == failure_domain_id{"a/b"});
+    CHECK_FALSE(decode_evacuation("config"));
+    CHECK_FALSE(decode_evacuation("evacuate"));
+    CHECK_FALSE(decode_evacuation("wave/evacuate/caroni"));
+    CHECK_FALSE(decode_evacuation(""));
+}
--- a/tests/support/pool_world.cpp
+++ b/tests/support/pool_world.cpp
@@ -36,6 +36,10 @@
         config.version = config_version{std::stoull(value)};
         return {config, config.version, {}};
     }
+    [[nodiscard]] std::optional<failure_domain_id> decode_evacuation(const std::string &key) const override {
+        constexpr std::string_view prefix = "evacuate/";
+        return key.starts_with(prefix) ? std::optional{failure_domain_id{key.substr(prefix.size())}} : std::nullopt;
+    }
     [[nodiscard]] std::optional<catalog::target_entry> decode_target(const std::string &, const std::string &) const override {
         return std::nullopt;
     }
@@ -66,7 +70,7 @@
         target.reboot(m_now);
         m_listed.push_back(target.entry());
     }
-    m_versions.push_back({1, true, m_now});
+    m_versions.push_back({1, true, m_now, {}, {}});
     const auto hosts = chosen.domains * chosen.hosts_per_domain;
     for(std::size_t index = 0; index < hosts; ++index) {
         m_hosts.push_back(std::make_unique<host_state>(*this, index));
@@ -157,6 +161,7 @@
         return;
     }
     ++state.process;
+    disturbed(host);
     state.running = true;
     state.frozen_until = {};
     member::settings settings;
@@ -219,6 +224,7 @@
 void pool_world::freeze(std::size_t host, duration length) {
     auto &until = m_hosts.at(host)->frozen_until;
     until = std::max(until, m_now + length);
+    m_disturbed_at[host] = until;
 }
 
 void pool_world::stop_gracefully(std::size_t host) {
@@ -241,10 +247,16 @@
 
 void pool_world::cut_domain(std::uint32_t domain, bool cut) {
     cut ? (void)m_cut_domains.insert(domain) : (void)m_cut_domains.erase(domain);
+    for(std::size_t host = 0; host < m_hosts.size(); ++host) {
+        if(domain_of(host) == domain) {
+            disturbed(host);
+        }
+    }
 }
 
 void pool_world::cut_host(std::size_t host, bool cut) {
     cut ? (void)m_cut_hosts.insert(host) : (void)m_cut_hosts.erase(host);
+    disturbed(host);
 }
 
 void pool_world::cut_target(std::size_t target, bool cut) {
--- a/tests/support/pool_world.hpp
+++ b/tests/support/pool_world.hpp
@@ -110,6 +110,16 @@
 
     /// @brief Stores a new version of the configuration, one higher than the latest.
     void publish_config();
+    /// @brief Stores an operators' request to evacuate a failure domain, or takes it back.
+    void evacuate(std::uint32_t domain, bool in_force);
+    /// @brief Stores a record of the operators under a key.
+    void store_record(std::string key, std::optional<std::string> value);
+    /// @brief Tasks started so far on the targets of a failure domain.
+    [[nodiscard]] std::uint64_t starts_in(std::uint32_t domain) const;
+    /// @brief Targets of a failure domain with a run.
+    [[nodiscard]] std::size_t busy_targets(std::uint32_t domain) const;
+    /// @brief Makes the store lose the history of the operators' records; the newest record of each key stays.
+    void compact_config();
     /// @brief Stores a version of the configuration that no host can decode.
     void publish_unreadable_config();
     /// @brief Silences open connections without closing them: reads that the store has not answered yet are never answered, and
@@ -181,6 +191,10 @@
         std::uint64_t version{};
         bool readable{true};
         time_point stored_at;
+        /// Key of a record of another kind; it carries the version of the configuration before it.
+        std::string key;
+        /// Value of such a record; empty for one that removes the key.
+        std::optional<std::string> value;
     };
     /// Read of the configuration that the store has not answered yet.
     struct config_read {
@@ -189,6 +203,7 @@
         std::uint64_t process{};
         std::uint64_t from{};
         bool lost{};
+        bool snapshot{};
     };
     friend struct host_state;
 
@@ -219,6 +234,13 @@
     void read_config(std::size_t host, feed::read_id number, std::optional<std::uint64_t> from, milliseconds wait);
     void answer_config(std::uint64_t read);
     void store_config(bool readable);
+    void store_record(config_record record);
+    [[nodiscard]] feed::keyed_record operators_record(std::size_t offset) const;
+    [[nodiscard]] feed::topic_page operators_page(const config_read &read) const;
+    /// Counts a start; it breaks an evacuation if the host has been in touch and could have known of it in time.
+    void count_start(std::size_t from, std::size_t target);
+    void disturbed(std::size_t host) { m_disturbed_at[host] = m_now; }
+    [[nodiscard]] bool in_touch(std::size_t host) const;
     void deliver_config(const config_read &read, feed::topic_page page);
     void deliver_start(std::size_t from, std::uint64_t process, const pool::start_order &order);
     void deliver_stop(std::size_t from, std::uint64_t process, const pool::stop_order &order);
@@ -246,6 +268,13 @@
     std::map<target_id, std::size_t> m_target_index;
     bool m_store_cut{};
     std::vector<config_record> m_versions;
+    /// First of the operators' records that the store still has, but for the newest of each key.
+    std::size_t m_first_version{};
+    /// Since when failure domains are being evacuated.
+    std::map<std::uint32_t, time_point> m_evacuated_since;
+    std::map<std::uint32_t, std::uint64_t> m_starts;
+    /// When the links of a host were last cut or mended, or its process started or stood still.
+    std::map<std::size_t, time_point> m_disturbed_at;
     std::map<std::uint64_t, config_read> m_config_waits;
     std::uint64_t m_config_reads{};
     std::set<std::size_t> m_muted_hosts;
--- a/tests/support/pool_world_targets.cpp
+++ b/tests/support/pool_world_targets.cpp
@@ -92,6 +92,9 @@
         return;
     }
     answer.outcome = execute(m_now);
+    if(answer.outcome == lease::order_outcome::done) {
+        count_start(from, index);
+    }
     answer.clock = m_targets[index].clock(m_now);
     respond(latency, answer);
 }
