--- a/src/heathermoor/lock/lock_client.cpp
+++ b/src/heathermoor/lock/lock_client.cpp
@@ -43,6 +43,7 @@
     auto &job = m_jobs[id];
     const auto runs_end_in = std::max<duration>(work.remaining + lease::longest_unreachable_run, work.earlier_runs_end_in);
     job.needed_until = std::max(job.needed_until, now + runs_end_in);
+    job.strict_until = std::max(job.strict_until, now + work.lock_wait);
     if(job.release_at) {
         job.runs_end_floor = *job.release_at;
         job.may_have_run = job.may_have_run || job.release.may_have_run;
@@ -85,7 +86,7 @@
         if(lock.state == request_state::unasked || now - lock.asked_at >= interval) {
             ask_home(id, job, lock, now);
         }
-        if(!job.scheduled && blocks(lock, now)) {
+        if(!job.scheduled && blocks(job, lock, now)) {
             // Homes are asked in the same order everywhere, so that two cells do not wait for each other.
             return;
         }
@@ -106,11 +107,11 @@
     m_outgoing[lock.asked].acquires.push_back({id, internal::left(job.needed_until - now, duration::zero()), job.scheduled});
 }
 
-bool lock_client::blocks(const home_lock &lock, time_point now) const {
+bool lock_client::blocks(const locked_job &job, const home_lock &lock, time_point now) const {
     if(lock.state == request_state::granted) {
         return false;
     }
-    if(now < lock.held_until) {
+    if(now < lock.held_until || now < job.strict_until) {
         return true;
     }
     if(lock.state == request_state::unasked) {
@@ -124,7 +125,7 @@
     if(job.scheduled || job.waiting.empty()) {
         return;
     }
-    if(std::any_of(job.homes.begin(), job.homes.end(), [&](const home_lock &lock) { return blocks(lock, now); })) {
+    if(std::any_of(job.homes.begin(), job.homes.end(), [&](const home_lock &lock) { return blocks(job, lock, now); })) {
         return;
     }
     const auto missing =
@@ -182,6 +183,11 @@
     erase_if_unused(id);
 }
 
+bool lock_client::has_home(const job_id &id, const cell::cell_id &cell, time_point now) const {
+    const auto homes = m_homes.of(id, now);
+    return std::find(homes.begin(), homes.end(), cell) != homes.end();
+}
+
 bool lock_client::waits(const pool::gateway_ref &from, const job_id &id) const {
     const auto found = m_jobs.find(id);
     return found != m_jobs.end() && std::any_of(found->second.waiting.begin(), found->second.waiting.end(),
--- a/src/heathermoor/lock/lock_client.hpp
+++ b/src/heathermoor/lock/lock_client.hpp
@@ -61,6 +61,18 @@
     /// @return True if it waits for a lock.
     [[nodiscard]] bool waits(const pool::gateway_ref &from, const job_id &id) const;
 
+    /// @brief Whether a job has a lock here, or waits for one.
+    /// @param id Job.
+    /// @return True from its first submission until its lock is released.
+    [[nodiscard]] bool knows(const job_id &id) const { return m_jobs.contains(id); }
+
+    /// @brief Whether the lock of a job is kept by a cell.
+    /// @param id Job.
+    /// @param cell Cell.
+    /// @param now Reading of the monotonic clock.
+    /// @return True if the cell is one of the job's homes.
+    [[nodiscard]] bool has_home(const job_id &id, const cell::cell_id &cell, time_point now) const;
+
     /// @brief Releases the lock of a job that the scheduler has closed.
     /// @param request Job and how it ended.
     /// @param runs_end_at Time until which runs that an earlier leader started may be active.
@@ -182,6 +194,8 @@
         std::vector<held_back> waiting;
         /// Time after which no run of the job can be active.
         time_point needed_until;
+        /// Until when it waits for its lock whether or not its home answers.
+        time_point strict_until;
         bool scheduled{};
         bool may_have_run{};
         bool has_waited{};
@@ -209,7 +223,7 @@
     void ask(const job_id &id, locked_job &job, time_point now);
     void ask_home(const job_id &id, const locked_job &job, home_lock &lock, time_point now);
     /// Whether a home keeps a job from being scheduled.
-    [[nodiscard]] bool blocks(const home_lock &lock, time_point now) const;
+    [[nodiscard]] bool blocks(const locked_job &job, const home_lock &lock, time_point now) const;
     void schedule_if_locked(const job_id &id, locked_job &job, time_point now);
     static void take_reply(home_lock &lock, lock_state state, time_point now);
     void answer_waiting(const job_id &id, locked_job &job);
--- a/src/heathermoor/member/member.cpp
+++ b/src/heathermoor/member/member.cpp
@@ -60,6 +60,7 @@
       m_contacts{m_settings.self, m_settings.domain, out.peers}, m_cell{m_cells.of(m_settings.domain, m_settings.self)},
       m_scheduler{out.orders, *this, lease::token_source{hash64(m_settings.self.str())}} {
     m_election.take_part(false);
+    m_scheduler.set_lending(m_settings.lending);
     for(const auto &seed: m_settings.seeds) {
         add_host(seed);
     }
@@ -322,6 +323,7 @@
         m_leading = false;
         m_scheduler.resign();
         m_locks.clear();
+        stop_lending();
         m_contacts.make_cell_due();
     }
     std::optional<gateway::leader_ref> leader;
@@ -371,6 +373,7 @@
         m_scheduler.set_resuming(m_pauses.unread(at));
         m_scheduler.tick(at, m_ports.clock.unix_now());
         tick_locks(at);
+        tick_lending(at);
         send_statistics(at);
     }
     pull_from_peers(at);
--- a/src/heathermoor/member/member.hpp
+++ b/src/heathermoor/member/member.hpp
@@ -9,6 +9,7 @@
 #include "heathermoor/gateway/gateway.hpp"
 #include "heathermoor/lock/lock_client.hpp"
 #include "heathermoor/lock/lock_table.hpp"
+#include "heathermoor/member/lending_state.hpp"
 #include "heathermoor/member/pause_guard.hpp"
 #include "heathermoor/metrics/work_meter.hpp"
 #include "heathermoor/pool/scheduler.hpp"
@@ -18,6 +19,7 @@
 #include <map>
 #include <set>
 #include <string>
+#include <string_view>
 #include <utility>
 #include <vector>
 
@@ -33,6 +35,8 @@
     std::uint32_t millicores{};
     /// Hosts to contact at startup.
     std::vector<host_id> seeds;
+    /// Jobs that the own cell would refuse are lent to cells that have room.
+    bool lending{};
 };
 
 /// @brief Persists run statistics, so that they survive the loss of all hosts.
@@ -187,6 +191,10 @@
     /// @return Client, whose counters cover the whole life of the process.
     [[nodiscard]] const lock::lock_client &locks() const noexcept { return m_locks; }
 
+    /// @brief Jobs that this host lends and borrows; active only while it leads.
+    /// @return State, whose counters cover the whole life of the process.
+    [[nodiscard]] const lending_state &lent() const noexcept { return m_lending; }
+
     /// @brief Leader of the cell as this host sees it.
     /// @return Leader and term; none while no leader is known.
     [[nodiscard]] const std::optional<gateway::leader_ref> &leader() const noexcept { return m_leader; }
@@ -302,6 +310,27 @@
     /// Asks hosts of cells whose leader is not known, or does not answer, which one it is.
     void search_cell_leaders(time_point now);
     void ask_for_leader(const cell::cell_id &cell, time_point now);
+    void handle_lending(const wire::envelope &message);
+    void tick_lending(time_point now);
+    /// Message to another leader, with the echo of its latest one.
+    [[nodiscard]] wire::envelope lending_message(const lending::party &to);
+    void send_lending(const host_id &to, wire::envelope message);
+    void say_room(wire::pool_lending &reply);
+    void take_loans(const wire::envelope &message, const lending::party &lender, wire::pool_lending &reply);
+    /// Takes a job of another cell if there is room; returns whether it did.
+    [[nodiscard]] bool borrow(const lending::party &lender, pool::submission work, lending::room_report &room);
+    void take_results(const lending::party &from, const wire::pool_lending &body);
+    void take_back(const lending::party &from, const job_id &id, bool explicitly);
+    void lose_loans(const lending::party &to, std::string_view why);
+    void check_loans(time_point now);
+    void check_borrowed(time_point now);
+    /// Lends or refuses the jobs that cannot start here in time.
+    void place_overload(time_point now);
+    [[nodiscard]] bool may_lend(const pool::overloaded_job &job, time_point now) const;
+    [[nodiscard]] bool lend(const pool::overloaded_job &job, time_point now);
+    void send_lending_due(time_point now);
+    void ask_for_room(std::map<lending::party, wire::envelope> &messages);
+    void stop_lending();
     void decide_leader(time_point now);
     /// Time from which the present leader starts no more tasks for this host, if the host leaves it now.
     [[nodiscard]] time_point leader_starts_end_at(time_point now) const;
@@ -337,6 +366,7 @@
     pool::scheduler m_scheduler;
     lock::lock_client m_locks;
     lock::lock_table m_lock_table;
+    lending_state m_lending;
     time_point m_next_leader_search{};
     /// Host of each cell that was last asked for its leader.
     std::map<cell::cell_id, host_id> m_asked_for_leader;
--- a/src/heathermoor/member/member_locks.cpp
+++ b/src/heathermoor/member/member_locks.cpp
@@ -248,6 +248,7 @@
             // The lock was given back meanwhile.
             m_locks.submit(std::move(work), at);
         } else if(m_scheduler.is_confirmed(work.from, at)) {
+            m_lending.borrowed.scheduled(id);
             m_scheduler.submit(std::move(work), at);
         }
     }
--- a/src/heathermoor/member/member_messages.cpp
+++ b/src/heathermoor/member/member_messages.cpp
@@ -44,6 +44,7 @@
     case wire::envelope::kPoolCancelled:
     case wire::envelope::kPoolAsked:
     case wire::envelope::kPoolLocked:
+    case wire::envelope::kPoolLent:
         return metrics::work_part::jobs;
     default:
         return metrics::work_part::answers;
@@ -138,6 +139,7 @@
         if(m_leading && message.pool_cancelled().term() == raw(m_term)) {
             const job_id id{message.pool_cancelled().id()};
             m_locks.cancel(gateway_of(message), id);
+            m_lending.loans.cancel(gateway_of(message), id);
             m_scheduler.cancel(gateway_of(message), id, now());
         }
         break;
@@ -153,6 +155,9 @@
     case wire::envelope::kPoolLocked:
         handle_locks(message);
         break;
+    case wire::envelope::kPoolLent:
+        handle_lending(message);
+        break;
     case wire::envelope::kPoolRoutes:
         (void)apply_config(from_wire(message.pool_routes()), host_id{message.from()});
         break;
@@ -317,6 +322,14 @@
         return;
     }
     m_scheduler.confirm_gateway(from, confirmed_until);
+    if(m_lending.loans.lent(work->job.id)) {
+        m_lending.loans.join(std::move(*work), at);
+        return;
+    }
+    if(m_settings.lending && (work->may_have_run || m_lending.loans.was_lent(work->job.id))) {
+        // The leader before this one may have lent the job.
+        work->lock_wait = lending::lent_runs_end_time;
+    }
     m_locks.submit(std::move(*work), at);
     settle_locks(lock_flush::urgent);
 }
@@ -327,7 +340,7 @@
     }
     const auto from = gateway_of(message);
     for(const auto &id: message.pool_asked().ids()) {
-        if(!m_scheduler.answer_query(from, job_id{id}) && !m_locks.waits(from, job_id{id})) {
+        if(!m_scheduler.answer_query(from, job_id{id}) && !m_locks.waits(from, job_id{id}) && !m_lending.loans.waits(from, job_id{id})) {
             wire::envelope reply;
             reply.mutable_pool_answered()->set_id(id);
             reply.mutable_pool_answered()->set_not_known(true);
@@ -372,6 +385,10 @@
 }
 
 void member::answer(const pool::gateway_ref &to, const job_id &job, const job::answer &answer) {
+    if(m_lending.borrowed.open(to, job)) {
+        m_lending.borrowed.answered(job, answer);
+        return;
+    }
     wire::envelope message;
     message.set_to_incarnation(raw(to.process.process));
     auto &body = *message.mutable_pool_answered();
--- /dev/null
+++ b/src/heathermoor/pool/overload.hpp
@@ -0,0 +1,39 @@
+#pragma once
+
+#include "heathermoor/core/id.hpp"
+#include "heathermoor/core/time.hpp"
+#include <cstdint>
+
+namespace heathermoor::pool {
+
+/// @brief Processor capacity that a job needs if all its waiting tasks run at once.
+struct job_need {
+    std::int64_t total_cpu_millicores{};
+    /// The most that one task needs.
+    std::int64_t largest_cpu_millicores{};
+};
+
+/// @brief Free processor capacity of one service.
+struct free_room {
+    std::int64_t cpu_millicores{};
+    /// The largest part of it on one target.
+    std::int64_t largest_cpu_millicores{};
+};
+
+/// @brief Job that cannot start in time on the targets of its scheduler, and of which nothing was started.
+struct overloaded_job {
+    job_id id;
+    service_id service;
+    job_need need;
+    /// Time until a retry is likely to be accepted, if it is refused.
+    milliseconds retry_after{};
+    /// Work that would be started before it, and the time that it can wait.
+    double ahead_ms{};
+    double slack_ms{};
+    /// To be refused if no other cell takes it; else it may wait here for a target.
+    bool refusable{};
+    /// Any target of its service suits it, as far as the scheduler knows.
+    bool lendable{};
+};
+
+} // namespace heathermoor::pool
--- a/src/heathermoor/pool/scheduler.hpp
+++ b/src/heathermoor/pool/scheduler.hpp
@@ -4,6 +4,7 @@
 #include "heathermoor/placement/target_health.hpp"
 #include "heathermoor/pool/job_forecast.hpp"
 #include "heathermoor/pool/job_size.hpp"
+#include "heathermoor/pool/overload.hpp"
 #include "heathermoor/pool/ports.hpp"
 #include "heathermoor/pool/run_statistics.hpp"
 #include "heathermoor/pool/run_time_estimator.hpp"
@@ -85,6 +86,11 @@
     /// @return False if its confirmation has expired.
     [[nodiscard]] bool is_confirmed(const gateway_ref &gateway, time_point now) const;
 
+    /// @brief Whether a gateway is known, be it unconfirmed for a moment.
+    /// @param gateway Gateway in its present session.
+    /// @return False once its jobs have been dropped for its silence.
+    [[nodiscard]] bool knows_gateway(const gateway_ref &gateway) const { return m_gateways_confirmed_until.contains(gateway); }
+
     /// @brief Whether a job is in memory; answered ones are while runs are still being stopped.
     /// @param id Job.
     /// @return True until none of its runs can be active.
@@ -96,6 +102,35 @@
     /// @return Submissions of the gateways that wait for it, as if they came now.
     [[nodiscard]] std::vector<submission> give_up(const job_id &id, time_point now);
 
+    /// @brief Sets whether the jobs that are to be refused are left to the caller of `take_overloaded`.
+    /// @param lending True if other cells may take them.
+    void set_lending(bool lending) noexcept { m_lending = lending; }
+
+    /// @brief Jobs that cannot start here in time, as of the last tick; only while lending.
+    /// @return Jobs; each refusable one is to be withdrawn or refused.
+    [[nodiscard]] std::vector<overloaded_job> take_overloaded() { return std::exchange(m_overloaded, {}); }
+
+    /// @brief Whether jobs are about to be refused, or wait in vain for a target, as of the last tick; only while lending.
+    /// @return True if room in another cell may be needed soon.
+    [[nodiscard]] bool pressed() const noexcept { return m_pressed; }
+
+    /// @brief Takes a job of which nothing was started out of the queue, without an answer.
+    /// @param id Job.
+    /// @param now Monotonic time of the call.
+    /// @return Submissions of the gateways that wait for it, as if they came now; none if the job is unknown, or may have started.
+    [[nodiscard]] std::vector<submission> withdraw(const job_id &id, time_point now);
+
+    /// @brief Refuses a job of which nothing was started; any other is left as it is.
+    /// @param id Job.
+    /// @param retry_after Time until a retry is likely to be accepted.
+    /// @param now Monotonic time of the call.
+    void refuse(const job_id &id, milliseconds retry_after, time_point now);
+
+    /// @brief Processor capacity that is free and that no waiting job needs.
+    /// @param now Monotonic time of the call.
+    /// @return Capacity by service; services without any are absent.
+    [[nodiscard]] std::map<service_id, free_room> find_free_room(time_point now);
+
     /// @brief Answer of a job that has ended recently.
     /// @param id Job.
     /// @return Final answer; none if the job is not known to have ended.
@@ -424,6 +459,8 @@
     /// Starts tasks of a job where there is room; returns whether it started any.
     bool place_job(open_job &job, const speed_range &speeds, std::vector<candidate> &candidates, time_point now);
     void refuse_overload(time_point now);
+    [[nodiscard]] static job_need total_need(const open_job &job);
+    [[nodiscard]] static overloaded_job describe_overload(const open_job &job);
     void end_unreachable_jobs(time_point now);
     void check_pace(const held_target &target, const job::task_ref &task, const lease::run_entry &entry, time_point now,
                     std::vector<job_id> &unreachable);
@@ -464,6 +501,9 @@
     /// Something has changed since the last placement round.
     bool m_place_due{};
     bool m_resuming{};
+    bool m_lending{};
+    bool m_pressed{};
+    std::vector<overloaded_job> m_overloaded;
 };
 
 } // namespace heathermoor::pool
--- a/src/heathermoor/pool/scheduler_placing.cpp
+++ b/src/heathermoor/pool/scheduler_placing.cpp
@@ -32,6 +32,9 @@
 /// Expected wait for free capacity on a fast target under steady load.
 constexpr milliseconds fast_target_wait{60};
 
+/// Share of a job's slack that the work ahead of it may take before room elsewhere is asked for.
+constexpr double pressed_share = 0.5;
+
 /// Time for which the speeds that a job needs are not computed again.
 constexpr milliseconds speeds_validity{10};
 
@@ -346,6 +349,8 @@
 
 void scheduler::refuse_overload(time_point now) {
     std::vector<std::pair<job_id, milliseconds>> refused;
+    m_overloaded.clear();
+    m_pressed = false;
     const auto room = find_room(now);
     double ahead_ms = 0;
     for(const auto &[position, job]: m_queue) {
@@ -354,10 +359,27 @@
         }
         const auto waiting =
             std::count_if(job->slots.begin(), job->slots.end(), [](const task_slot &slot) { return slot.state == slot_state::waiting; });
-        const auto places = std::max(1.0, static_cast<double>(room.places(job->queue.service, job->job.steps.front().need)));
+        const auto found = room.places(job->queue.service, job->job.steps.front().need);
+        const auto places = std::max(1.0, static_cast<double>(found));
         const auto work_ms = to_ms(job->forecast.typical()) * static_cast<double>(waiting) / places;
         const auto slack_ms = to_ms(latest_start(*job) - now) * internal::waiting_share;
-        if(!job->ever_started && ahead_ms > std::max(0.0, slack_ms)) {
+        const bool too_late = !job->ever_started && ahead_ms > std::max(0.0, slack_ms);
+        const auto retry = std::max(internal::min_retry_after, milliseconds{static_cast<std::int64_t>(ahead_ms)});
+        if(m_lending && !job->ever_started) {
+            m_pressed = m_pressed || found == 0 || ahead_ms > std::max(0.0, slack_ms) * internal::pressed_share;
+            if(too_late || found == 0) {
+                auto overload = describe_overload(*job);
+                overload.retry_after = retry;
+                overload.ahead_ms = ahead_ms;
+                overload.slack_ms = slack_ms;
+                overload.refusable = too_late;
+                m_overloaded.push_back(std::move(overload));
+            }
+        }
+        if(too_late && m_lending) {
+            continue;
+        }
+        if(too_late) {
             log_event(log_level::info, "pool", "job_refused",
                       {{"job", job->job.id},
                        {"ahead_ms", ahead_ms},
@@ -366,14 +388,13 @@
                        {"targets", m_holder.targets().size()},
                        {"predicted_ms", job->forecast.typical()},
                        {"fastest_speed", m_fastest}});
-            refused.emplace_back(job->job.id, std::max(internal::min_retry_after, milliseconds{static_cast<std::int64_t>(ahead_ms)}));
+            refused.emplace_back(job->job.id, retry);
             continue;
         }
         ahead_ms += work_ms;
     }
     for(const auto &[id, retry]: refused) {
-        finish(m_jobs.at(id), {job::outcome::refused, errc::overloaded, retry}, now);
-        erase_if_closed(id, now);
+        refuse(id, retry, now);
     }
 }
 
--- a/src/heathermoor/pool/submission.hpp
+++ b/src/heathermoor/pool/submission.hpp
@@ -25,6 +25,8 @@
     bool may_have_run{};
     /// Host of the only earlier scheduler that had the job; empty for none or several.
     host_id earlier;
+    /// Time for which the job waits for its lock even if its home does not answer, since another cell may run it.
+    duration lock_wait{};
 };
 
 /// @brief Job of which no run that this scheduler started can be active any more.
--- a/tests/support/pool_world.cpp
+++ b/tests/support/pool_world.cpp
@@ -165,6 +165,7 @@
     settings.process = incarnation{static_cast<std::uint64_t>(state.unix_now().count())};
     log_event(log_level::debug, "world", "host_started",
               {{"host", host}, {"process", settings.process}, {"at_ms", m_now.time_since_epoch()}});
+    settings.lending = m_options.lending;
     for(std::size_t other = 0; other < 2; ++other) {
         settings.seeds.emplace_back(std::to_string(other));
     }
--- a/tests/support/pool_world.hpp
+++ b/tests/support/pool_world.hpp
@@ -66,6 +66,10 @@
         milliseconds latest_repeat{};
         /// Latest time, after the second request, at which the connection of one of the two ends; zero for none.
         milliseconds latest_break{};
+        /// Leaders lend jobs to other cells.
+        bool lending{};
+        /// Share of the requests, from 0 to 1, that go to hosts of the first domain, beside its part of the others.
+        double crest{};
     };
 
     explicit pool_world(options chosen);
--- a/tests/support/pool_world_callers.cpp
+++ b/tests/support/pool_world_callers.cpp
@@ -101,7 +101,10 @@
 
 void pool_world::submit(const job_id &job, std::uint32_t attempt) {
     auto &known = m_jobs.at(job);
-    const auto index = known.run_times.empty() ? static_cast<std::size_t>(m_random() % m_hosts.size()) : known.entry_host;
+    auto index = known.run_times.empty() ? static_cast<std::size_t>(m_random() % m_hosts.size()) : known.entry_host;
+    if(m_options.crest > 0 && std::uniform_real_distribution<double>{}(m_random) < m_options.crest) {
+        index = static_cast<std::size_t>(m_random() % m_options.hosts_per_domain);
+    }
     log_event(log_level::debug, "world", "submitted",
               {{"job", job}, {"host", index}, {"attempt", attempt}, {"at_ms", m_now.time_since_epoch()}});
     known.record.host = index;
