--- a/src/heathermoor/member/lending_state.hpp
+++ b/src/heathermoor/member/lending_state.hpp
@@ -30,8 +30,6 @@
     time_point pressed_since{};
     time_point pressed_at{};
     time_point asked_at{};
-    /// Jobs that were refused although lending is on, since the start of the process.
-    std::uint64_t refused{};
 };
 
 } // namespace heathermoor::member
--- a/src/heathermoor/member/member_lending.cpp
+++ b/src/heathermoor/member/member_lending.cpp
@@ -123,7 +123,7 @@
 
 void member::say_room(wire::pool_lending &reply) {
     reply.set_says_room(true);
-    if(m_scheduler.pressed()) {
+    if(m_scheduler.overload().crowded) {
         return;
     }
     const auto at = now();
@@ -147,7 +147,7 @@
     if(fresh) {
         m_scheduler.confirm_gateway(from, confirmed_until);
     }
-    auto room = m_scheduler.pressed() ? lending::room_report{} : m_scheduler.find_free_room(at);
+    auto room = m_scheduler.overload().crowded ? lending::room_report{} : m_scheduler.find_free_room(at);
     for(const auto &item: body.loans()) {
         auto work = from_wire(item, from);
         if(!work || !fresh) {
@@ -276,17 +276,16 @@
 }
 
 void member::place_overload(time_point now) {
-    if(m_scheduler.pressed()) {
+    if(m_scheduler.overload().pressed) {
         const bool resumed = now - m_lending.pressed_at >= internal::room_interest;
         m_lending.pressed_since = resumed ? now : m_lending.pressed_since;
         m_lending.pressed_at = now;
     }
     const bool awaits_word = now - m_lending.pressed_since < internal::first_word_limit && m_locks.cells().size() > 1;
-    for(const auto &job: m_scheduler.take_overloaded()) {
+    for(const auto &job: std::vector<pool::overloaded_job>{m_scheduler.overload().jobs}) {
         if(lend(job, now) || !job.refusable || (awaits_word && may_lend(job, now))) {
             continue;
         }
-        ++m_lending.refused;
         log_event(log_level::info, "pool", "job_refused",
                   {{"job", job.id}, {"ahead_ms", job.ahead_ms}, {"slack_ms", job.slack_ms}, {"lendable", may_lend(job, now)}});
         m_scheduler.refuse(job.id, job.retry_after, now);
--- a/src/heathermoor/pool/overload.hpp
+++ b/src/heathermoor/pool/overload.hpp
@@ -3,6 +3,7 @@
 #include "heathermoor/core/id.hpp"
 #include "heathermoor/core/time.hpp"
 #include <cstdint>
+#include <vector>
 
 namespace heathermoor::pool {
 
@@ -36,4 +37,14 @@
     bool lendable{};
 };
 
+/// @brief What a scheduler found at its last tick; empty unless it leaves refusals to its caller.
+struct overload_report {
+    /// Jobs to be withdrawn, or refused if they are refusable.
+    std::vector<overloaded_job> jobs;
+    /// Jobs are about to be refused, or wait in vain for a target: room in another cell may be needed soon.
+    bool pressed{};
+    /// The work that waits leaves no room for the jobs of other cells.
+    bool crowded{};
+};
+
 } // namespace heathermoor::pool
--- a/src/heathermoor/pool/scheduler.cpp
+++ b/src/heathermoor/pool/scheduler.cpp
@@ -78,8 +78,7 @@
     m_gateways_confirmed_until.clear();
     m_recent_answers.clear();
     m_closed.clear();
-    m_overloaded.clear();
-    m_pressed = false;
+    m_overload = {};
     m_reports_due.clear();
     m_settling_until.reset();
 }
--- a/src/heathermoor/pool/scheduler.hpp
+++ b/src/heathermoor/pool/scheduler.hpp
@@ -102,17 +102,13 @@
     /// @return Submissions of the gateways that wait for it, as if they came now.
     [[nodiscard]] std::vector<submission> give_up(const job_id &id, time_point now);
 
-    /// @brief Sets whether the jobs that are to be refused are left to the caller of `take_overloaded`.
+    /// @brief Sets whether the jobs that are to be refused are left to the caller, as `overload`.
     /// @param lending True if other cells may take them.
     void set_lending(bool lending) noexcept { m_lending = lending; }
 
-    /// @brief Jobs that cannot start here in time, as of the last tick; only while lending.
-    /// @return Jobs; each refusable one is to be withdrawn or refused.
-    [[nodiscard]] std::vector<overloaded_job> take_overloaded() { return std::exchange(m_overloaded, {}); }
-
-    /// @brief Whether jobs are about to be refused, or wait in vain for a target, as of the last tick; only while lending.
-    /// @return True if room in another cell may be needed soon.
-    [[nodiscard]] bool pressed() const noexcept { return m_pressed; }
+    /// @brief Jobs that cannot start here in time.
+    /// @return Report as of the last tick; empty unless lending.
+    [[nodiscard]] const overload_report &overload() const noexcept { return m_overload; }
 
     /// @brief Takes a job of which nothing was started out of the queue, without an answer.
     /// @param id Job.
@@ -502,8 +498,7 @@
     bool m_place_due{};
     bool m_resuming{};
     bool m_lending{};
-    bool m_pressed{};
-    std::vector<overloaded_job> m_overloaded;
+    overload_report m_overload;
 };
 
 } // namespace heathermoor::pool
--- a/src/heathermoor/pool/scheduler_placing.cpp
+++ b/src/heathermoor/pool/scheduler_placing.cpp
@@ -349,8 +349,7 @@
 
 void scheduler::refuse_overload(time_point now) {
     std::vector<std::pair<job_id, milliseconds>> refused;
-    m_overloaded.clear();
-    m_pressed = false;
+    m_overload = {};
     const auto room = find_room(now);
     double ahead_ms = 0;
     for(const auto &[position, job]: m_queue) {
@@ -366,14 +365,15 @@
         const bool too_late = !job->ever_started && ahead_ms > std::max(0.0, slack_ms);
         const auto retry = std::max(internal::min_retry_after, milliseconds{static_cast<std::int64_t>(ahead_ms)});
         if(m_lending && !job->ever_started) {
-            m_pressed = m_pressed || found == 0 || ahead_ms > std::max(0.0, slack_ms) * internal::pressed_share;
+            m_overload.crowded = m_overload.crowded || ahead_ms > std::max(0.0, slack_ms) * internal::pressed_share;
+            m_overload.pressed = m_overload.crowded || m_overload.pressed || found == 0;
             if(too_late || found == 0) {
                 auto overload = describe_overload(*job);
                 overload.retry_after = retry;
                 overload.ahead_ms = ahead_ms;
                 overload.slack_ms = slack_ms;
                 overload.refusable = too_late;
-                m_overloaded.push_back(std::move(overload));
+                m_overload.jobs.push_back(std::move(overload));
             }
         }
         if(too_late && m_lending) {
--- a/tests/lock/lock_client.cpp
+++ b/tests/lock/lock_client.cpp
@@ -19,6 +19,12 @@
     return work;
 }
 
+[[nodiscard]] pool::submission submission_that_waits(const job_id &id, duration lock_wait) {
+    auto work = submission_of(id);
+    work.lock_wait = lock_wait;
+    return work;
+}
+
 /// Leader whose jobs all have their home in one other cell.
 struct asking_leader {
     asking_leader() {
@@ -156,3 +162,32 @@
         }
     }
 }
+
+// Guards against a borrowed job that runs in two cells because its home was cut off from one of them.
+SCENARIO("A job that another cell may run waits for its lock even if the home is silent", "[lock][lending]") {
+    asking_leader leader;
+    leader.client.submit(submission_that_waits(job_a, milliseconds{600}), leader.now);
+    GIVEN("a home that does not answer") {
+        leader.advance(milliseconds{575});
+        THEN("the job waits as long as its submission says, and then goes on without the lock") {
+            CHECK(leader.client.take_ready().empty());
+            leader.advance(milliseconds{50});
+            CHECK(leader.client.take_ready().size() == 1);
+        }
+        WHEN("another submission of the job comes that would not wait") {
+            leader.submit(job_a, "another");
+            THEN("it waits as well") {
+                CHECK(leader.client.take_ready().empty());
+            }
+        }
+    }
+    GIVEN("a home that does not know yet, and then grants the lock") {
+        leader.client.answered(first_leader, {job_a, lock_state::undecided, false, {}}, leader.now);
+        leader.advance(milliseconds{300});
+        REQUIRE(leader.client.take_ready().empty());
+        leader.client.answered(first_leader, {job_a, lock_state::granted, false, {}}, leader.now);
+        THEN("the job is scheduled") {
+            CHECK(leader.client.take_ready().size() == 1);
+        }
+    }
+}
