Mark a job at its gateways before it is lent

The gateways now note a job before it is lent, and its next leader starts it only when no lent run can be active.

--- a/src/heathermoor/gateway/gateway.cpp
+++ b/src/heathermoor/gateway/gateway.cpp
@@ -137,6 +137,15 @@
     }
 }
 
+bool gateway::note_lending(const answer_origin &from, const job_id &id) {
+    const auto entry = m_jobs.find(id);
+    if(entry == m_jobs.end() || !is_current(from)) {
+        return false;
+    }
+    entry->second.may_be_lent = true;
+    return true;
+}
+
 void gateway::set_leader(const std::optional<leader_ref> &leader, time_point earlier_starts_end_at, time_point now) {
     if(leader == m_leader) {
         return;
@@ -149,6 +158,11 @@
                 job.several_previous_leaders = job.several_previous_leaders || job.previous_leader.has_value();
                 job.previous_leader = m_leader;
                 job.earlier_runs_end_at = std::max(job.earlier_runs_end_at, earlier_starts_end_at + lease::longest_unreachable_run);
+                if(job.may_be_lent) {
+                    // Reports of the next leader's targets do not show that it has ended.
+                    job.several_previous_leaders = true;
+                    job.earlier_runs_end_at = std::max(job.earlier_runs_end_at, now + lease::longest_lent_run_without_gateway);
+                }
             }
         }
     }
--- a/src/heathermoor/gateway/gateway.hpp
+++ b/src/heathermoor/gateway/gateway.hpp
@@ -114,6 +114,12 @@
     /// @param now Reading of the monotonic clock.
     void not_known(const answer_origin &from, const job_id &id, time_point now);
 
+    /// @brief Handles a leader's notice that it is about to lend a job: the next leader cannot see all runs of it on its own targets.
+    /// @param from Sender, and the session in which it had the job.
+    /// @param id Id of the job.
+    /// @return True if that is noted; false if the job is not open here under that leader.
+    [[nodiscard]] bool note_lending(const answer_origin &from, const job_id &id);
+
     /// @brief Changes the leader; submits all open jobs to the new one.
     /// @param leader New leader; none if there is no leader.
     /// @param earlier_starts_end_at Time from which the leader until now starts no more tasks for this host.
@@ -172,6 +178,8 @@
         /// Latest earlier leader that had the job; none if there was none.
         std::optional<leader_ref> previous_leader;
         bool several_previous_leaders{};
+        /// A leader may have lent it, so that it may run where the next leader sees nothing of it.
+        bool may_be_lent{};
     };
 
     struct ended_job {
--- a/src/heathermoor/lease/run_bounds.hpp
+++ b/src/heathermoor/lease/run_bounds.hpp
@@ -13,4 +13,13 @@
 /// may have started it: a lease of 750 ms on a clock that is 2% slow, and the end of the run.
 inline constexpr milliseconds longest_unreachable_run{765 + 60};
 
+/// @brief Time from the last message of a lender after which none of the runs that another leader has started for it can be active.
+///
+/// The borrower starts and renews nothing for a lender that has not echoed it for `host_confirmation_time`.
+inline constexpr milliseconds longest_lent_run{host_confirmation_time + longest_unreachable_run};
+
+/// @brief Time from the change of a gateway to another leader after which no run of a job that was lent for it can be active: the lender
+/// takes the gateway for lost, which includes a grace period of 300 ms, before its own word at the borrower expires.
+inline constexpr milliseconds longest_lent_run_without_gateway{host_confirmation_time + milliseconds{300} + longest_lent_run};
+
 } // namespace heathermoor::lease
--- a/src/heathermoor/lending/loan_book.cpp
+++ b/src/heathermoor/lending/loan_book.cpp
@@ -1,5 +1,6 @@
 #include "heathermoor/lending/loan_book.hpp"
 
+#include "heathermoor/lease/run_bounds.hpp"
 #include <algorithm>
 #include <iterator>
 #include <utility>
@@ -28,7 +29,7 @@
     for(const auto &one: submissions) {
         sent.remaining = std::max(sent.remaining, one.remaining);
     }
-    m_lent_before[sent.job.id] = now + sent.remaining + internal::memory;
+    m_lent_before[sent.job.id] = {now + sent.remaining + internal::memory, false};
     sent.remaining = std::max(duration::zero(), sent.remaining - internal::answer_way);
     loan one{to, now, {}};
     for(auto &work: submissions) {
@@ -59,6 +60,11 @@
     }
 }
 
+bool loan_book::may_run_elsewhere(const job_id &id) const {
+    const auto found = m_lent_before.find(id);
+    return found != m_lent_before.end() && !found->second.returned;
+}
+
 void loan_book::drop_gateways(const std::function<bool(const pool::gateway_ref &)> &gone) {
     for(auto item = m_loans.begin(); item != m_loans.end();) {
         auto &waiting = item->second.waiting;
@@ -95,6 +101,7 @@
     }
     auto result = submissions_of(found->second, now);
     m_loans.erase(found);
+    m_lent_before[id].returned = true;
     ++m_counts.returned;
     return result;
 }
@@ -124,8 +131,8 @@
         for(auto &work: submissions_of(item->second, now)) {
             work.may_have_run = true;
             work.earlier = {};
-            work.earlier_runs_end_in = std::max<duration>(work.earlier_runs_end_in, lent_runs_end_time);
-            work.lock_wait = lent_runs_end_time;
+            work.earlier_runs_end_in = std::max<duration>(work.earlier_runs_end_in, lease::longest_lent_run);
+            work.lock_wait = lease::longest_lent_run;
             result.push_back(std::move(work));
         }
         item = m_loans.erase(item);
@@ -146,7 +153,7 @@
         m_counts.expired += one.waiting.empty() ? 1 : 0;
         item = one.waiting.empty() ? m_loans.erase(item) : std::next(item);
     }
-    std::erase_if(m_lent_before, [&](const auto &item) { return now >= item.second; });
+    std::erase_if(m_lent_before, [&](const auto &item) { return now >= item.second.until; });
     return result;
 }
 
--- a/src/heathermoor/lending/loan_book.hpp
+++ b/src/heathermoor/lending/loan_book.hpp
@@ -66,10 +66,10 @@
     /// @param gone Whether a gateway is gone.
     void drop_gateways(const std::function<bool(const pool::gateway_ref &)> &gone);
 
-    /// @brief Whether a job was lent lately, so that its borrower may not have stopped it yet.
+    /// @brief Whether a job was lent lately and not given back, so that its borrower may not have stopped it yet.
     /// @param id Job.
     /// @return True for some time beyond its deadline.
-    [[nodiscard]] bool was_lent(const job_id &id) const { return m_lent_before.contains(id); }
+    [[nodiscard]] bool may_run_elsewhere(const job_id &id) const;
 
     /// @brief Whether a gateway waits for a lent job.
     /// @param from Gateway in its present session.
@@ -132,8 +132,14 @@
     [[nodiscard]] static std::vector<pool::submission> submissions_of(loan &one, time_point now);
 
     std::unordered_map<job_id, loan> m_loans;
-    /// Jobs that were lent, and when they may be forgotten.
-    std::unordered_map<job_id, time_point> m_lent_before;
+    struct past_loan {
+        /// When it may be forgotten.
+        time_point until;
+        /// The borrower has given it back.
+        bool returned{};
+    };
+
+    std::unordered_map<job_id, past_loan> m_lent_before;
     loan_counts m_counts;
 };
 
--- a/src/heathermoor/lending/room_board.cpp
+++ b/src/heathermoor/lending/room_board.cpp
@@ -37,6 +37,11 @@
     return cpu - need.total_cpu_millicores;
 }
 
+bool room_board::has_room(const service_id &service, const pool::job_need &need, time_point now) const {
+    return std::any_of(m_words.begin(), m_words.end(),
+                       [&](const auto &item) { return now - item.second.as_of < room_validity && left(item.second, service, need) >= 0; });
+}
+
 std::optional<party> room_board::choose(const service_id &service, const pool::job_need &need, time_point now) {
     auto best = m_words.end();
     std::int64_t best_left = -1;
--- a/src/heathermoor/lending/room_board.hpp
+++ b/src/heathermoor/lending/room_board.hpp
@@ -29,6 +29,13 @@
     /// @param from Leader.
     void drop(const party &from) { m_words.erase(from); }
 
+    /// @brief Whether `choose` would find a leader.
+    /// @param service Service of the job.
+    /// @param need Processor capacity that the job needs.
+    /// @param now Reading of the monotonic clock.
+    /// @return True if a leader has said lately that it has room to spare.
+    [[nodiscard]] bool has_room(const service_id &service, const pool::job_need &need, time_point now) const;
+
     /// @brief Chooses the leader with the most room left, and takes the job's need off it.
     /// @param service Service of the job.
     /// @param need Processor capacity that the job needs.
--- a/src/heathermoor/member/lending_state.hpp
+++ b/src/heathermoor/member/lending_state.hpp
@@ -4,6 +4,7 @@
 #include "heathermoor/lending/loan_book.hpp"
 #include "heathermoor/lending/room_board.hpp"
 #include <map>
+#include <set>
 #include <vector>
 
 namespace heathermoor::member {
@@ -22,6 +23,13 @@
     lending::loan_book loans;
     lending::borrow_book borrowed;
     std::map<process_ref, peer> peers;
+    /// Jobs that are about to be lent: when their gateways were told so, and which of them have noted it.
+    struct notice {
+        time_point sent_at{};
+        std::set<pool::gateway_ref> noted;
+    };
+
+    std::map<job_id, notice> notices;
     /// Loans that are to be sent.
     std::map<lending::party, std::vector<pool::submission>> outgoing;
     /// Leaders that have asked for room, and when.
--- a/src/heathermoor/member/member.hpp
+++ b/src/heathermoor/member/member.hpp
@@ -330,6 +330,10 @@
     [[nodiscard]] bool lend(const pool::overloaded_job &job, time_point now);
     void send_lending_due(time_point now);
     void ask_for_room(std::map<lending::party, wire::envelope> &messages);
+    /// Tells the gateways of a job that it is about to be lent; returns whether all have noted it.
+    [[nodiscard]] bool announce(const pool::overloaded_job &job, time_point now);
+    void send_notice(const pool::gateway_ref &to, const job_id &id);
+    void handle_notice(const wire::envelope &message);
     void stop_lending();
     void decide_leader(time_point now);
     /// Time from which the present leader starts no more tasks for this host, if the host leaves it now.
--- a/src/heathermoor/member/member_lending.cpp
+++ b/src/heathermoor/member/member_lending.cpp
@@ -22,6 +22,12 @@
 /// Interval at which a borrower gets the list of its loans.
 constexpr milliseconds list_interval{100};
 
+/// Time in which the gateways of a job note that it is about to be lent; its refusal waits for that.
+constexpr milliseconds notice_limit{75};
+
+/// Time after which a notice is sent again.
+constexpr seconds notice_memory{2};
+
 /// Silence of a borrower after which its loans count as lost.
 constexpr milliseconds borrower_silence_limit{600};
 
@@ -257,6 +263,7 @@
     check_borrowed(now);
     settle_locks(lock_flush::urgent);
     send_lending_due(now);
+    std::erase_if(m_lending.notices, [now](const auto &item) { return now - item.second.sent_at >= internal::notice_memory; });
     std::erase_if(m_lending.peers, [now](const auto &item) { return now - item.second.heard_at >= internal::peer_memory; });
 }
 
@@ -286,12 +293,63 @@
         if(lend(job, now) || !job.refusable || (awaits_word && may_lend(job, now))) {
             continue;
         }
+        const auto notice = m_lending.notices.find(job.id);
+        if(notice != m_lending.notices.end() && now - notice->second.sent_at < internal::notice_limit && may_lend(job, now)) {
+            continue;
+        }
         log_event(log_level::info, "pool", "job_refused",
                   {{"job", job.id}, {"ahead_ms", job.ahead_ms}, {"slack_ms", job.slack_ms}, {"lendable", may_lend(job, now)}});
         m_scheduler.refuse(job.id, job.retry_after, now);
     }
 }
 
+bool member::announce(const pool::overloaded_job &job, time_point now) {
+    auto &notice = m_lending.notices[job.id];
+    const bool first = notice.sent_at == time_point{};
+    notice.sent_at = first ? now : notice.sent_at;
+    bool noted = true;
+    for(const auto &gateway: job.gateways) {
+        if(first) {
+            send_notice(gateway, job.id);
+        }
+        noted = noted && notice.noted.contains(gateway);
+    }
+    return noted;
+}
+
+void member::send_notice(const pool::gateway_ref &to, const job_id &id) {
+    wire::envelope message;
+    message.set_to_incarnation(raw(to.process.process));
+    auto &body = *message.mutable_pool_asked();
+    body.add_lends(id.str());
+    body.set_session(raw(to.session));
+    body.set_term(raw(m_term));
+    send(to.process.host, std::move(message));
+}
+
+void member::handle_notice(const wire::envelope &message) {
+    const auto &body = message.pool_asked();
+    const host_id sender{message.from()};
+    wire::envelope reply;
+    for(const auto &id: body.lends()) {
+        if(m_gateway.note_lending({{sender, leader_term{body.term()}}, gateway_session{body.session()}}, job_id{id})) {
+            reply.mutable_pool_asked()->add_lends_noted(id);
+        }
+    }
+    if(reply.pool_asked().lends_noted_size() > 0) {
+        reply.mutable_pool_asked()->set_term(body.term());
+        send(sender, std::move(reply));
+    }
+    if(m_leading && body.term() == raw(m_term)) {
+        for(const auto &id: body.lends_noted()) {
+            const auto known = m_lending.notices.find(job_id{id});
+            if(known != m_lending.notices.end()) {
+                known->second.noted.insert(gateway_of(message));
+            }
+        }
+    }
+}
+
 bool member::may_lend(const pool::overloaded_job &job, time_point now) const {
     // A leader that follows this one keeps the locks of this cell without a record of what was lent under them.
     return job.lendable && m_lending.loans.may_lend(job.id) && !m_locks.has_home(job.id, m_cell, now);
@@ -301,10 +359,10 @@
     if(!may_lend(job, now)) {
         return false;
     }
-    const auto to = m_lending.rooms.choose(job.service, job.need, now);
-    if(!to) {
+    if(!m_lending.rooms.has_room(job.service, job.need, now) || !announce(job, now)) {
         return false;
     }
+    const auto to = m_lending.rooms.choose(job.service, job.need, now);
     auto submissions = m_scheduler.withdraw(job.id, now);
     if(submissions.empty()) {
         return false;
@@ -402,6 +460,7 @@
     m_lending.borrowed.clear();
     m_lending.outgoing.clear();
     m_lending.askers.clear();
+    m_lending.notices.clear();
 }
 
 } // namespace heathermoor::member
--- a/src/heathermoor/member/member_messages.cpp
+++ b/src/heathermoor/member/member_messages.cpp
@@ -323,18 +323,23 @@
     }
     m_scheduler.confirm_gateway(from, confirmed_until);
     if(m_lending.loans.lent(work->job.id)) {
+        send_notice(from, work->job.id);
         m_lending.loans.join(std::move(*work), at);
         return;
     }
-    if(m_settings.lending && (work->may_have_run || m_lending.loans.was_lent(work->job.id))) {
-        // The leader before this one may have lent the job.
-        work->lock_wait = lending::lent_runs_end_time;
+    if(m_lending.loans.may_run_elsewhere(work->job.id)) {
+        work->earlier = {};
+        work->earlier_runs_end_in = std::max<duration>(work->earlier_runs_end_in, lease::longest_lent_run);
+        work->lock_wait = lease::longest_lent_run;
     }
     m_locks.submit(std::move(*work), at);
     settle_locks(lock_flush::urgent);
 }
 
 void member::handle_query(const wire::envelope &message) {
+    if(m_settings.lending) {
+        handle_notice(message);
+    }
     if(!m_leading || message.pool_asked().term() != raw(m_term)) {
         return;
     }
--- a/src/heathermoor/pool/overload.hpp
+++ b/src/heathermoor/pool/overload.hpp
@@ -2,6 +2,7 @@
 
 #include "heathermoor/core/id.hpp"
 #include "heathermoor/core/time.hpp"
+#include "heathermoor/pool/ports.hpp"
 #include <cstdint>
 #include <vector>
 
@@ -35,6 +36,8 @@
     bool refusable{};
     /// Any target of its service suits it, as far as the scheduler knows.
     bool lendable{};
+    /// Gateways that wait for it.
+    std::vector<gateway_ref> gateways;
 };
 
 /// @brief What a scheduler found at its last tick; empty unless it leaves refusals to its caller.
--- a/src/heathermoor/pool/scheduler_overload.cpp
+++ b/src/heathermoor/pool/scheduler_overload.cpp
@@ -30,6 +30,7 @@
     result.id = job.job.id;
     result.service = job.queue.service;
     result.need = total_need(job);
+    result.gateways = job.gateways;
     result.lendable = !job.next && std::all_of(steps.begin(), steps.end(), [](const job::step &one) { return one.required_label.empty(); });
     return result;
 }
--- a/tests/gateway/gateway.cpp
+++ b/tests/gateway/gateway.cpp
@@ -219,3 +219,40 @@
         }
     }
 }
+
+// Guards against a second run after a change of leader: the first leader had lent the job, so that the next one's targets showed no run of
+// it.
+SCENARIO("A leader that follows one that may have lent a job waits until no run of it can be active", "[gateway][lending]") {
+    gateway_fixture fixture;
+    fixture.submit();
+    const auto session = fixture.subject.self().session;
+    GIVEN("a notice of the present leader") {
+        REQUIRE(fixture.subject.note_lending({fixture.first, session}, fixture.job.id));
+        WHEN("it is followed by another") {
+            fixture.subject.set_leader(fixture.second, fixture.started, fixture.started + milliseconds{100});
+            THEN("that is told the latest end of a lent run, and that no host's reports show it") {
+                const auto &handed = fixture.out.handed.back();
+                CHECK(handed.earlier_runs_end_in == lease::longest_lent_run_without_gateway);
+                CHECK(handed.earlier == host_id{});
+                CHECK(handed.may_have_run);
+            }
+            AND_WHEN("the first one comes back") {
+                fixture.subject.set_leader(fixture.first, fixture.started, fixture.started + milliseconds{200});
+                THEN("it waits as well") {
+                    CHECK(fixture.out.handed.back().earlier_runs_end_in == lease::longest_lent_run_without_gateway);
+                }
+            }
+        }
+    }
+    GIVEN("a notice of another leader, of another session, or of another job") {
+        CHECK_FALSE(fixture.subject.note_lending({fixture.second, session}, fixture.job.id));
+        CHECK_FALSE(fixture.subject.note_lending({fixture.first, gateway_session{raw(session) + 1}}, fixture.job.id));
+        CHECK_FALSE(fixture.subject.note_lending({fixture.first, session}, job_id{"00000000000000bb"}));
+        WHEN("another leader follows") {
+            fixture.subject.set_leader(fixture.second, fixture.started, fixture.started + milliseconds{100});
+            THEN("nothing was noted") {
+                CHECK(fixture.out.handed.back().earlier_runs_end_in < lease::longest_lent_run_without_gateway);
+            }
+        }
+    }
+}
--- a/tests/lending/loan_book.cpp
+++ b/tests/lending/loan_book.cpp
@@ -1,5 +1,7 @@
 #include "heathermoor/lending/loan_book.hpp"
 
+#include "heathermoor/lease/run_bounds.hpp"
+
 #include <catch2/catch.hpp>
 
 using namespace heathermoor;
@@ -47,6 +49,7 @@
             THEN("it is not lent again") {
                 CHECK_FALSE(book.lent(lent_job));
                 CHECK_FALSE(book.may_lend(lent_job));
+                CHECK_FALSE(book.may_run_elsewhere(lent_job));
             }
         }
         WHEN("a leader that is not its borrower gives it back or answers it") {
@@ -66,7 +69,7 @@
             THEN("both gateways get the answer") {
                 CHECK(book.take_answered(borrower, lent_job) == std::vector{gateway("g"), gateway("h")});
                 CHECK_FALSE(book.lent(lent_job));
-                CHECK(book.was_lent(lent_job));
+                CHECK(book.may_run_elsewhere(lent_job));
             }
         }
         WHEN("the borrower is lost") {
@@ -74,8 +77,8 @@
             THEN("the job may have run, and may run until the borrower has stopped it") {
                 REQUIRE(lost.size() == 2);
                 CHECK(lost.front().may_have_run);
-                CHECK(lost.front().earlier_runs_end_in == lending::lent_runs_end_time);
-                CHECK(lost.front().lock_wait == lending::lent_runs_end_time);
+                CHECK(lost.front().earlier_runs_end_in == lease::longest_lent_run);
+                CHECK(lost.front().lock_wait == lease::longest_lent_run);
                 CHECK_FALSE(book.lent(lent_job));
             }
         }
@@ -94,7 +97,7 @@
             book.cancel(gateway("h"), lent_job);
             THEN("the loan is listed no more, so that the borrower stops it") {
                 CHECK(book.open().empty());
-                CHECK(book.was_lent(lent_job));
+                CHECK(book.may_run_elsewhere(lent_job));
             }
         }
         WHEN("a gateway submits it again in a new session") {
--- a/tests/member/lending.cpp
+++ b/tests/member/lending.cpp
@@ -261,3 +261,51 @@
         }
     }
 }
+
+SCENARIO("No task runs twice while hosts fail at any time and jobs are lent", "[member][fault][lending]") {
+    const auto seed = GENERATE(from_range(test::chosen_seeds(20)));
+    GIVEN(fmt::format("a crest, and hosts that are killed, stopped, suspended, cut off or heard late, seed {}", seed)) {
+        pool_world world{three_domains(seed)};
+        world.run(seconds{3});
+        world.set_load(crest_load);
+        std::mt19937_64 random{seed};
+        for(int count = 0; count < 8; ++count) {
+            const auto host = static_cast<std::size_t>(random() % world.hosts());
+            const auto domain = static_cast<std::uint32_t>(random() % 3);
+            switch(random() % 7) {
+            case 0:
+                world.kill(host);
+                break;
+            case 1:
+                world.stop_gracefully(host);
+                break;
+            case 2:
+                world.freeze(host, milliseconds{100 + random() % 1'200});
+                break;
+            case 3:
+                world.cut_domain(domain, true);
+                world.run(milliseconds{200 + random() % 1'500});
+                world.cut_domain(domain, false);
+                break;
+            case 4:
+                world.cut_host(host, true);
+                world.run(milliseconds{200 + random() % 1'500});
+                world.cut_host(host, false);
+                break;
+            case 5:
+                world.delay_connections(0.5, milliseconds{50 + random() % 500});
+                break;
+            default:
+                world.silence_connections(0.4);
+                break;
+            }
+            world.run(milliseconds{200 + random() % 900});
+            for(std::size_t other = 0; other < world.hosts(); ++other) {
+                world.start(other);
+            }
+        }
+        THEN("no task runs twice at the same time, and every caller is answered") {
+            check_promises(world);
+        }
+    }
+}
