--- a/src/heathermoor/member/member_lending.cpp
+++ b/src/heathermoor/member/member_lending.cpp
@@ -367,6 +367,12 @@
     if(submissions.empty()) {
         return false;
     }
+    for(const auto &work: submissions) {
+        if(!m_lending.notices[job.id].noted.contains(work.from)) {
+            // It has joined the job since the last tick.
+            send_notice(work.from, job.id);
+        }
+    }
     log_event(log_level::info, "member", "job_lent",
               {{"job", job.id},
                {"borrower", to->process.host},
