--- a/src/heathermoor/member/member_lending.cpp
+++ b/src/heathermoor/member/member_lending.cpp
@@ -19,6 +19,10 @@
 /// Time for which a refusal waits for the first word of other leaders.
 constexpr milliseconds first_word_limit{75};
 
+/// Time for which a gateway without a confirmation keeps its lent jobs: less than the scheduler's grace period, since the borrower stops
+/// them only with the next list.
+constexpr milliseconds unconfirmed_gateway_limit{150};
+
 /// Interval at which a borrower gets the list of its loans.
 constexpr milliseconds list_interval{100};
 
@@ -268,7 +272,8 @@
 }
 
 void member::check_loans(time_point now) {
-    m_lending.loans.drop_gateways([this](const pool::gateway_ref &one) { return !m_scheduler.knows_gateway(one); });
+    m_lending.loans.drop_gateways(
+        [&](const pool::gateway_ref &one) { return !m_scheduler.is_confirmed(one, now - internal::unconfirmed_gateway_limit); });
     for(const auto &[to, jobs]: m_lending.loans.open()) {
         const auto peer = m_lending.peers.find(to.process);
         if(peer == m_lending.peers.end() || now - peer->second.heard_at >= internal::borrower_silence_limit) {
