Merge lending between cells, off by default

A job that its cell would refuse and that never started goes to a cell whose leader has just said that it has room; it runs there only with the lock of its home.

--- a/src/heathermoor/host/node.cpp
+++ b/src/heathermoor/host/node.cpp
@@ -124,6 +124,7 @@
     case wire::envelope::kPoolLearned:
     case wire::envelope::kPoolLocked:
     case wire::envelope::kPoolEvacuated:
+    case wire::envelope::kPoolLent:
     case wire::envelope::BODY_NOT_SET:
         break;
     }
--- a/src/heathermoor/pool/scheduler.hpp
+++ b/src/heathermoor/pool/scheduler.hpp
@@ -4,6 +4,7 @@
 #include "heathermoor/placement/target_health.hpp"
 #include "heathermoor/pool/job_forecast.hpp"
 #include "heathermoor/pool/job_size.hpp"
+#include "heathermoor/pool/overload.hpp"
 #include "heathermoor/pool/ports.hpp"
 #include "heathermoor/pool/run_statistics.hpp"
 #include "heathermoor/pool/run_time_estimator.hpp"
@@ -104,6 +105,31 @@
     /// @return Submissions of the gateways that wait for it, as if they came now.
     [[nodiscard]] std::vector<submission> give_up(const job_id &id, time_point now);
 
+    /// @brief Sets whether the jobs that are to be refused are left to the caller, as `overload`.
+    /// @param lending True if other cells may take them.
+    void set_lending(bool lending) noexcept { m_lending = lending; }
+
+    /// @brief Jobs that cannot start here in time.
+    /// @return Report as of the last tick; empty unless lending.
+    [[nodiscard]] const overload_report &overload() const noexcept { return m_overload; }
+
+    /// @brief Takes a job of which nothing was started out of the queue, without an answer.
+    /// @param id Job.
+    /// @param now Monotonic time of the call.
+    /// @return Submissions of the gateways that wait for it, as if they came now; none if the job is unknown, or may have started.
+    [[nodiscard]] std::vector<submission> withdraw(const job_id &id, time_point now);
+
+    /// @brief Refuses a job of which nothing was started; any other is left as it is.
+    /// @param id Job.
+    /// @param retry_after Time until a retry is likely to be accepted.
+    /// @param now Monotonic time of the call.
+    void refuse(const job_id &id, milliseconds retry_after, time_point now);
+
+    /// @brief Processor capacity that is free and that no waiting job needs.
+    /// @param now Monotonic time of the call.
+    /// @return Capacity by service; services without any are absent.
+    [[nodiscard]] std::map<service_id, free_room> find_free_room(time_point now);
+
     /// @brief Answer of a job that has ended recently.
     /// @param id Job.
     /// @return Final answer; none if the job is not known to have ended.
@@ -434,6 +460,8 @@
     /// Starts tasks of a job where there is room; returns whether it started any.
     bool place_job(open_job &job, const speed_range &speeds, std::vector<candidate> &candidates, time_point now);
     void refuse_overload(time_point now);
+    [[nodiscard]] static job_need total_need(const open_job &job);
+    [[nodiscard]] static overloaded_job describe_overload(const open_job &job);
     void end_unreachable_jobs(time_point now);
     void check_pace(const held_target &target, const job::task_ref &task, const lease::run_entry &entry, time_point now,
                     std::vector<job_id> &unreachable);
@@ -476,6 +504,8 @@
     bool m_resuming{};
     /// It is not known yet which failure domains are being evacuated.
     bool m_uninformed{};
+    bool m_lending{};
+    overload_report m_overload;
 };
 
 } // namespace heathermoor::pool
