--- a/src/heathermoor/member/member_lending.cpp
+++ b/src/heathermoor/member/member_lending.cpp
@@ -303,7 +303,12 @@
             continue;
         }
         log_event(log_level::info, "pool", "job_refused",
-                  {{"job", job.id}, {"ahead_ms", job.ahead_ms}, {"slack_ms", job.slack_ms}, {"lendable", may_lend(job, now)}});
+                  {{"job", job.id},
+                   {"ahead_ms", job.ahead_ms},
+                   {"slack_ms", job.slack_ms},
+                   {"lendable", may_lend(job, now)},
+                   {"room", m_lending.rooms.has_room(job.service, job.need, now)},
+                   {"noted", notice == m_lending.notices.end() ? 0 : notice->second.noted.size()}});
         m_scheduler.refuse(job.id, job.retry_after, now);
     }
 }
