--- a/src/heathermoor/gateway/gateway.hpp
+++ b/src/heathermoor/gateway/gateway.hpp
@@ -30,6 +30,16 @@
     gateway_session session{};
 };
 
+/// @brief What has become of a caller's request to cancel a job.
+enum class cancel_result : std::uint8_t {
+    /// No task of the job starts from now on, anywhere.
+    cancelled,
+    /// The same; no host has had the job, or it had ended.
+    not_found,
+    /// Not confirmed in time; the cancelling goes on.
+    unknown,
+};
+
 /// @brief Sends answers to callers.
 class caller_port : public interface {
   public:
@@ -38,6 +48,12 @@
     /// @param id Job that the request submitted.
     /// @param answer Outcome as received.
     virtual void reply(request_token request, const job_id &id, const job::answer &answer) = 0;
+
+    /// @brief Answers a request to cancel a job.
+    /// @param request Token of the caller's request.
+    /// @param id Job that the request names.
+    /// @param result Outcome.
+    virtual void cancel_answered(request_token request, const job_id &id, cancel_result result) = 0;
 };
 
 /// @brief Sends messages to the scheduler on this or another host.
--- a/src/heathermoor/job/job.hpp
+++ b/src/heathermoor/job/job.hpp
@@ -134,6 +134,8 @@
     errc reason{errc::ok};
     /// For refusals: time until a retry is likely to be accepted.
     milliseconds retry_after{};
+
+    friend bool operator==(const answer &, const answer &) = default;
 };
 
 } // namespace heathermoor::job
--- a/src/heathermoor/lock/fwd.hpp
+++ b/src/heathermoor/lock/fwd.hpp
@@ -4,6 +4,7 @@
 
 struct acquire_request;
 struct addressed_reply;
+struct cancelled_job;
 struct holder_ref;
 struct lock_reply;
 struct release_request;
--- a/src/heathermoor/lock/lock.hpp
+++ b/src/heathermoor/lock/lock.hpp
@@ -79,4 +79,12 @@
     lock_reply reply;
 };
 
+/// @brief Cancelled job that no leader has any more, and the leader that asked for that.
+struct cancelled_job {
+    holder_ref to;
+    job_id id;
+    /// A leader has asked for its lock, and it had not ended with an answer.
+    bool known{};
+};
+
 } // namespace heathermoor::lock
--- a/src/heathermoor/lock/lock_client.cpp
+++ b/src/heathermoor/lock/lock_client.cpp
@@ -43,6 +43,11 @@
     auto &job = m_jobs[id];
     const auto runs_end_in = std::max<duration>(work.remaining + lease::longest_unreachable_run, work.earlier_runs_end_in);
     job.needed_until = std::max(job.needed_until, now + runs_end_in);
+    if(job.scheduled && job.answer) {
+        // It is being given up, or its lock is not free yet.
+        m_ended.push_back({work.from, id, *job.answer});
+        return;
+    }
     if(job.release_at) {
         job.runs_end_floor = *job.release_at;
         job.may_have_run = job.may_have_run || job.release.may_have_run;
@@ -182,6 +187,21 @@
     erase_if_unused(id);
 }
 
+void lock_client::end(const job_id &id, const job::answer &answer) {
+    const auto found = m_jobs.find(id);
+    if(found == m_jobs.end()) {
+        return;
+    }
+    auto &job = found->second;
+    job.answer = answer;
+    if(!job.scheduled) {
+        answer_waiting(id, job);
+        erase_if_unused(id);
+    } else if(!job.release_at) {
+        m_conflicts.push_back(id);
+    }
+}
+
 bool lock_client::waits(const pool::gateway_ref &from, const job_id &id) const {
     const auto found = m_jobs.find(id);
     return found != m_jobs.end() && std::any_of(found->second.waiting.begin(), found->second.waiting.end(),
--- a/src/heathermoor/lock/lock_client.hpp
+++ b/src/heathermoor/lock/lock_client.hpp
@@ -55,6 +55,16 @@
     /// @param id Job.
     void cancel(const pool::gateway_ref &from, const job_id &id);
 
+    /// @brief Ends a job with an answer, as if its home had told it: the scheduler gives it up, and its gateways are answered.
+    /// @param id Job; an unknown one is ignored.
+    /// @param answer Final answer.
+    void end(const job_id &id, const job::answer &answer);
+
+    /// @brief Whether a job has a lock, or waits for one.
+    /// @param id Job.
+    /// @return True from its first submission until it is closed.
+    [[nodiscard]] bool knows(const job_id &id) const { return m_jobs.contains(id); }
+
     /// @brief Whether a submission of a gateway is held back.
     /// @param from Gateway in its present session.
     /// @param id Job.
@@ -115,6 +125,12 @@
     /// @return Cells.
     [[nodiscard]] std::vector<cell::cell_id> cells_without_answer(time_point now) const;
 
+    /// @brief Homes of a job.
+    /// @param id Job.
+    /// @param now Reading of the monotonic clock.
+    /// @return Cells, as `home_map::of`.
+    [[nodiscard]] std::vector<cell::cell_id> homes_of(const job_id &id, time_point now) const { return m_homes.of(id, now); }
+
     /// @brief Cells of the deployment, as last set.
     /// @return Cells.
     [[nodiscard]] const std::vector<cell::cell_id> &cells() const noexcept { return m_homes.cells(); }
--- a/src/heathermoor/lock/lock_table.cpp
+++ b/src/heathermoor/lock/lock_table.cpp
@@ -16,6 +16,9 @@
 /// Most jobs remembered after their end; the oldest are forgotten first.
 constexpr std::size_t max_remembered = 65'536;
 
+/// Difference from which a cancelling is that of a later request, and no copy that took longer on its way.
+constexpr seconds renewal_step{1};
+
 /// Interval of the search for locks that were never released.
 constexpr seconds sweep_interval{1};
 
@@ -26,6 +29,8 @@
     m_contended.clear();
     m_freed.clear();
     m_heard.clear();
+    m_cancelled.clear();
+    m_cancel_waiters.clear();
     m_collecting_until = now + internal::collection_time;
 }
 
@@ -57,6 +62,7 @@
 lock_reply lock_table::acquire(const acquire_request &request, const holder_ref &from, time_point now) {
     heard(from, now);
     auto &one = m_entries[request.id];
+    one.asked = true;
     if(one.answer) {
         return {request.id, lock_state::ended, true, one.answer};
     }
@@ -107,10 +113,50 @@
     }
     one.holder.reset();
     one.may_have_run = one.may_have_run || request.may_have_run;
-    one.answer = request.answer;
+    if(!one.cancelled_at || !one.answer) {
+        one.answer = request.answer;
+    }
     return settle(request.id, now);
 }
 
+std::vector<addressed_reply> lock_table::cancel(const cancellation::notice &received, const holder_ref &from, time_point now) {
+    auto &one = m_entries[received.id];
+    if(!one.cancelled_at || now - *one.cancelled_at >= internal::renewal_step) {
+        one.cancelled_at = now;
+        m_cancelled.push_back({received.id, now});
+    }
+    m_cancel_waiters.insert({received.id, from});
+    if(!one.answer) {
+        one.answer = cancellation::cancelled_answer;
+        log_event(log_level::info, "lock", "job_cancelled", {{"job", received.id}, {"asked", one.asked}, {"waiters", one.waiters.size()}});
+    }
+    std::vector<addressed_reply> replies;
+    if(one.holder) {
+        replies.push_back({*one.holder, {received.id, lock_state::ended, true, one.answer}});
+    }
+    for(const auto &item: one.waiters) {
+        replies.push_back({item.holder, {received.id, lock_state::ended, true, one.answer}});
+    }
+    one.waiters.clear();
+    m_contended.erase(received.id);
+    return replies;
+}
+
+std::vector<cancelled_job> lock_table::take_cancelled(time_point now) {
+    std::vector<cancelled_job> result;
+    std::erase_if(m_cancel_waiters, [&](const auto &asked) {
+        const auto &[id, from] = asked;
+        const auto found = m_entries.find(id);
+        if(found != m_entries.end() && is_held(found->second, now)) {
+            return false;
+        }
+        const bool known = found != m_entries.end() && found->second.asked && found->second.answer == cancellation::cancelled_answer;
+        result.push_back({from, id, known});
+        return true;
+    });
+    return result;
+}
+
 std::vector<addressed_reply> lock_table::compare(const std::vector<acquire_request> &requests, const holder_ref &from, time_point now) {
     std::vector<addressed_reply> replies;
     std::set<job_id> listed;
@@ -176,6 +222,7 @@
         replies.insert(replies.end(), settled.begin(), settled.end());
     }
     forget_freed(now);
+    forget_cancelled(now);
     sweep(now);
     return replies;
 }
@@ -185,7 +232,26 @@
         const auto oldest = m_freed.front();
         m_freed.pop_front();
         const auto found = m_entries.find(oldest.id);
-        if(found != m_entries.end() && !found->second.holder && found->second.waiters.empty() && found->second.freed_at == oldest.at) {
+        if(found == m_entries.end() || found->second.cancelled_at) {
+            continue;
+        }
+        if(!found->second.holder && found->second.waiters.empty() && found->second.freed_at == oldest.at) {
+            m_entries.erase(found);
+        }
+    }
+}
+
+void lock_table::forget_cancelled(time_point now) {
+    while(!m_cancelled.empty() &&
+          (now - m_cancelled.front().at >= cancellation::retention || m_cancelled.size() > cancellation::max_remembered)) {
+        const auto oldest = m_cancelled.front();
+        m_cancelled.pop_front();
+        const auto found = m_entries.find(oldest.id);
+        if(found == m_entries.end() || found->second.cancelled_at != oldest.at) {
+            continue;
+        }
+        found->second.cancelled_at.reset();
+        if(!is_held(found->second, now)) {
             m_entries.erase(found);
         }
     }
@@ -197,7 +263,8 @@
     }
     m_next_sweep = now + internal::sweep_interval;
     std::erase_if(m_entries, [now](const auto &item) {
-        return item.second.holder && item.second.waiters.empty() && now >= item.second.until && now >= item.second.shared_until;
+        return item.second.holder && !item.second.cancelled_at && item.second.waiters.empty() && now >= item.second.until &&
+               now >= item.second.shared_until;
     });
     std::erase_if(m_heard, [now](const auto &item) { return now - item.second >= 2 * holder_silence_limit; });
 }
--- a/src/heathermoor/lock/lock_table.hpp
+++ b/src/heathermoor/lock/lock_table.hpp
@@ -1,11 +1,13 @@
 #pragma once
 
+#include "heathermoor/cancellation/notice.hpp"
 #include "heathermoor/lock/lock.hpp"
 #include <cstddef>
 #include <deque>
 #include <map>
 #include <set>
 #include <unordered_map>
+#include <utility>
 #include <vector>
 
 namespace heathermoor::lock {
@@ -34,6 +36,18 @@
     /// @return Replies for leaders that waited.
     [[nodiscard]] std::vector<addressed_reply> release(const release_request &request, const holder_ref &from, time_point now);
 
+    /// @brief Cancels a job: its requests get the answer of a cancelled job from now on, unless it has ended with another.
+    /// @param received Job and age of the caller's request.
+    /// @param from Leader that asks; `take_cancelled` tells it when no run of the job can be started any more.
+    /// @param now Reading of the monotonic clock.
+    /// @return Replies for the leader that has the lock and for those that wait.
+    [[nodiscard]] std::vector<addressed_reply> cancel(const cancellation::notice &received, const holder_ref &from, time_point now);
+
+    /// @brief Cancelled jobs that no leader has any more.
+    /// @param now Reading of the monotonic clock.
+    /// @return Confirmations for the leaders that asked, each once.
+    [[nodiscard]] std::vector<cancelled_job> take_cancelled(time_point now);
+
     /// @brief Records a message from a leader, which keeps its locks.
     /// @param from Leader that sent it.
     /// @param now Reading of the monotonic clock.
@@ -74,6 +88,10 @@
         bool may_have_run{};
         std::optional<job::answer> answer;
         time_point freed_at;
+        /// A leader has asked for the lock.
+        bool asked{};
+        /// When the job was cancelled, as long as that is remembered.
+        std::optional<time_point> cancelled_at;
     };
 
     struct freed_job {
@@ -86,6 +104,7 @@
     void wait(entry &one, const acquire_request &request, const holder_ref &from, time_point now);
     [[nodiscard]] std::vector<addressed_reply> settle(const job_id &id, time_point now);
     void forget_freed(time_point now);
+    void forget_cancelled(time_point now);
     /// Drops the locks that are void without a word from their holders.
     void sweep(time_point now);
 
@@ -94,6 +113,10 @@
     std::set<job_id> m_contended;
     /// Jobs whose lock was freed, oldest first; some may be locked again.
     std::deque<freed_job> m_freed;
+    /// Cancelled jobs in the order of the requests; one that was cancelled again is in it twice.
+    std::deque<freed_job> m_cancelled;
+    /// Cancelled jobs, each with a leader that waits until nobody has it.
+    std::set<std::pair<job_id, holder_ref>> m_cancel_waiters;
     std::map<holder_ref, time_point> m_heard;
     /// Until when holders may not have registered their locks yet.
     time_point m_collecting_until;
--- a/src/heathermoor/member/convert_locks.cpp
+++ b/src/heathermoor/member/convert_locks.cpp
@@ -78,4 +78,21 @@
     return reply;
 }
 
+void to_wire(const cancellation::notice &sent, wire::pool_cancel_notice &message) {
+    message.set_id(sent.id.str());
+    message.set_age_us(sent.age.count());
+    message.set_known(sent.known);
+}
+
+std::vector<cancellation::notice> from_wire(const google::protobuf::RepeatedPtrField<wire::pool_cancel_notice> &messages) {
+    std::vector<cancellation::notice> result;
+    for(const auto &message: messages) {
+        const duration age{message.age_us()};
+        if(age >= duration::zero() && age <= duration{cancellation::retention}) {
+            result.push_back({job_id{message.id()}, age, message.known()});
+        }
+    }
+    return result;
+}
+
 } // namespace heathermoor::member
--- a/src/heathermoor/member/convert_locks.hpp
+++ b/src/heathermoor/member/convert_locks.hpp
@@ -1,9 +1,11 @@
 #pragma once
 
+#include "heathermoor/cancellation/notice.hpp"
 #include "heathermoor/lock/lock.hpp"
 #include "heathermoor/lock/lock_client.hpp"
 #include "heathermoor/wire/heathermoor.pb.h"
 #include <optional>
+#include <vector>
 
 namespace heathermoor::member {
 
@@ -37,4 +39,14 @@
 /// @return Reply; none if its state is unknown or an ended job has no final answer.
 [[nodiscard]] std::optional<lock::lock_reply> from_wire(const wire::pool_lock_reply &message);
 
+/// @brief Converts a notice of a cancelled job.
+/// @param sent Notice.
+/// @param message Message to fill.
+void to_wire(const cancellation::notice &sent, wire::pool_cancel_notice &message);
+
+/// @brief Converts notices of cancelled jobs.
+/// @param messages Messages as received.
+/// @return Notices; those whose age is out of range are left out.
+[[nodiscard]] std::vector<cancellation::notice> from_wire(const google::protobuf::RepeatedPtrField<wire::pool_cancel_notice> &messages);
+
 } // namespace heathermoor::member
--- a/src/heathermoor/member/member.cpp
+++ b/src/heathermoor/member/member.cpp
@@ -66,21 +66,20 @@
 }
 
 void member::submit_job(gateway::request_token request, job::definition job, const job::queue_policy &queue, duration limit) {
+    if(m_cancel_desk.bars(job.id) && !m_gateway.past(job.id)) {
+        m_ports.callers.reply(request, job.id, cancellation::cancelled_answer);
+        return;
+    }
     m_gateway.submit(request, std::move(job), queue, limit, now());
     process_pending();
 }
 
 void member::abandon(gateway::request_token request) {
+    m_cancel_desk.abandon(request);
     m_gateway.abandon(request, now());
     process_pending();
 }
 
-bool member::cancel_job(const job_id &id) {
-    const bool known = m_gateway.cancel(id, now());
-    process_pending();
-    return known;
-}
-
 bool member::apply_config(route::route_config config, const host_id &peer) {
     const auto before = m_routes.configured() ? m_routes.current().version : config_version{};
     if(!m_routes.apply(std::move(config))) {
@@ -322,6 +321,7 @@
         m_leading = false;
         m_scheduler.resign();
         m_locks.clear();
+        m_cancel_relay.clear();
         m_contacts.make_cell_due();
     }
     std::optional<gateway::leader_ref> leader;
@@ -340,6 +340,8 @@
         const auto earlier_starts_end_at = leader_starts_end_at(now);
         m_leader = leader;
         m_contacts.make_cell_due();
+        m_cancel_desk.leader_changed();
+        flush_cancels();
         m_gateway.set_leader(leader, earlier_starts_end_at, now);
     }
 }
@@ -365,6 +367,7 @@
     update_targets();
     probe_remote_targets(at);
     m_gateway.tick(at);
+    tick_cancels(at);
     if(m_leading) {
         m_scheduler.confirm_gateway(m_gateway.self(), at + lease::host_confirmation_time);
         const metrics::work_meter::span work{m_ports.work, metrics::work_part::holding};
@@ -388,6 +391,8 @@
 
 void member::end_jobs() {
     m_gateway.end_all(now());
+    m_cancel_desk.end_all();
+    flush_cancels();
     process_pending();
 }
 
--- a/src/heathermoor/member/member.hpp
+++ b/src/heathermoor/member/member.hpp
@@ -1,5 +1,7 @@
 #pragma once
 
+#include "heathermoor/cancellation/cancel_desk.hpp"
+#include "heathermoor/cancellation/cancel_relay.hpp"
 #include "heathermoor/catalog/target_catalog.hpp"
 #include "heathermoor/cell/cell_plan.hpp"
 #include "heathermoor/confirmation/confirmation_monitor.hpp"
@@ -85,10 +87,11 @@
     /// @param request Token of the caller's open request.
     void abandon(gateway::request_token request);
 
-    /// @brief Cancels a job at the request of a caller.
+    /// @brief Cancels a job at the request of a caller, wherever it is; the answer comes by `caller_port::cancel_answered`.
+    /// @param request Token of the caller's open request.
     /// @param id Id of the job.
-    /// @return False if the job is not open on this host.
-    bool cancel_job(const job_id &id);
+    /// @param limit Time from now until the caller stops waiting.
+    void cancel_job(gateway::request_token request, const job_id &id, duration limit);
 
     /// @brief Applies a configuration version, unless the current one is as new.
     /// @param config Complete configuration version.
@@ -276,6 +279,21 @@
     void handle_departure(const process_ref &sender);
     void handle_cell_heartbeat(const wire::envelope &message, bool stepped_down);
     void handle_submit(const wire::envelope &message);
+    /// Handles a gateway that waits for a job no longer.
+    void handle_withdrawal(const wire::envelope &message);
+    /// Handles cancellings of a gateway, or confirmations for this one.
+    void handle_cancels(const wire::envelope &message);
+    /// Passes cancellings to the leader, and answers to callers.
+    void flush_cancels();
+    void tick_cancels(time_point now);
+    /// Passes the cancellings of this leader's gateways to the homes of the jobs.
+    void relay_cancels();
+    /// Cancels jobs whose home is this cell.
+    void take_cancels(const std::vector<cancellation::notice> &notices, const lock::holder_ref &from);
+    /// Handles what a message about locks says of cancelled jobs.
+    void handle_lock_cancels(const wire::envelope &message);
+    /// Tells leaders and gateways which cancelled jobs nobody has any more.
+    void confirm_cancels();
     void handle_query(const wire::envelope &message);
     void handle_answer(const wire::envelope &message);
     void handle_pull(const wire::envelope &message);
@@ -337,6 +355,9 @@
     pool::scheduler m_scheduler;
     lock::lock_client m_locks;
     lock::lock_table m_lock_table;
+    cancellation::cancel_desk m_cancel_desk;
+    cancellation::cancel_relay m_cancel_relay;
+    time_point m_next_home_search{};
     time_point m_next_leader_search{};
     /// Host of each cell that was last asked for its leader.
     std::map<cell::cell_id, host_id> m_asked_for_leader;
--- a/src/heathermoor/member/member_locks.cpp
+++ b/src/heathermoor/member/member_locks.cpp
@@ -152,7 +152,9 @@
         batch.complete = body.complete();
         answer_locks(sender, ask_table(batch, holder), body);
     }
+    handle_lock_cancels(message);
     settle_locks(lock_flush::urgent);
+    confirm_cancels();
 }
 
 void member::answer_locks(const process_ref &sender, const std::vector<lock::addressed_reply> &replies, const wire::pool_locks &asked) {
--- a/src/heathermoor/pool/scheduler.cpp
+++ b/src/heathermoor/pool/scheduler.cpp
@@ -376,11 +376,17 @@
 
 std::vector<submission> scheduler::give_up(const job_id &id, time_point now) {
     const auto found = m_jobs.find(id);
-    if(found == m_jobs.end() || found->second.closing) {
+    if(found == m_jobs.end()) {
         return {};
     }
     auto &job = found->second;
     std::vector<submission> result;
+    if(job.closing) {
+        if(auto next = std::exchange(job.next, std::nullopt)) {
+            result.push_back(std::move(*next));
+        }
+        return result;
+    }
     for(const auto &gateway: job.gateways) {
         submission work;
         work.job = job.job;
--- a/src/heathermoor/pool/scheduler.hpp
+++ b/src/heathermoor/pool/scheduler.hpp
@@ -91,7 +91,7 @@
     [[nodiscard]] bool knows(const job_id &id) const { return m_jobs.contains(id); }
 
     /// @brief Gives up a job that another scheduler has, and stops its runs.
-    /// @param id Job; an unknown one, or one that is closing, is ignored.
+    /// @param id Job; an unknown one is ignored. Of one that is closing only the submission that waits for that is given back.
     /// @param now Monotonic time of the call.
     /// @return Submissions of the gateways that wait for it, as if they came now.
     [[nodiscard]] std::vector<submission> give_up(const job_id &id, time_point now);
--- a/tests/gateway/gateway.cpp
+++ b/tests/gateway/gateway.cpp
@@ -11,6 +11,7 @@
 
 struct recorded_ports final : gateway::caller_port, gateway::scheduler_port {
     void reply(gateway::request_token, const job_id &, const job::answer &answer) override { answers.push_back(answer); }
+    void cancel_answered(gateway::request_token, const job_id &, gateway::cancel_result) override {}
     void submit(const gateway::leader_ref &, pool::submission work) override { handed.push_back(std::move(work)); }
     void cancel(const gateway::leader_ref &leader, const job_id &) override { cancelled_at.push_back(leader); }
     void query(const gateway::leader_ref &, const std::vector<job_id> &) override {}
--- a/tests/lock/lock_table.cpp
+++ b/tests/lock/lock_table.cpp
@@ -1,6 +1,7 @@
 #include "heathermoor/lock/lock_table.hpp"
 
 #include <catch2/catch.hpp>
+#include <string>
 
 using namespace heathermoor;
 using lock::lock_state;
@@ -139,3 +140,86 @@
         }
     }
 }
+
+SCENARIO("A cancelled job has no lock any more", "[lock][cancel]") {
+    const job_id job{"0000000000000001"};
+    const auto a = leader("a1", 1);
+    const auto b = leader("b1", 2);
+    lock::lock_table table;
+    time_point now{seconds{10}};
+    table.open(now);
+    now += seconds{1};
+
+    GIVEN("a holder, and a leader that waits") {
+        REQUIRE(table.acquire(request(job), a, now).state == lock_state::granted);
+        REQUIRE(table.acquire(request(job), b, now).state == lock_state::held);
+        WHEN("the waiting leader passes a cancelling") {
+            const auto replies = table.cancel({job, {}, true}, b, now);
+            THEN("both learn that the job has ended, and why") {
+                REQUIRE(replies.size() == 2);
+                for(const auto &reply: replies) {
+                    CHECK(reply.reply.state == lock_state::ended);
+                    CHECK(reply.reply.answer == cancellation::cancelled_answer);
+                }
+            }
+            THEN("it is confirmed when the holder gives the lock back, and nobody gets it") {
+                CHECK(table.take_cancelled(now).empty());
+                CHECK(table.release({job, true, {}}, a, now).empty());
+                const auto confirmed = table.take_cancelled(now);
+                REQUIRE(confirmed.size() == 1);
+                CHECK(confirmed.front().to == b);
+                CHECK(confirmed.front().known);
+                CHECK(table.take_cancelled(now).empty());
+            }
+            THEN("it is confirmed when the holder has been silent for as long as its runs may go on") {
+                CHECK(table.take_cancelled(now + lock::holder_silence_limit - milliseconds{1}).empty());
+                CHECK(table.take_cancelled(now + lock::holder_silence_limit).size() == 1);
+            }
+            THEN("a repeated notice tells the holder again, and is confirmed once") {
+                CHECK(table.cancel({job, milliseconds{50}, true}, b, now + milliseconds{50}).size() == 1);
+                (void)table.release({job, true, {}}, a, now + milliseconds{60});
+                CHECK(table.take_cancelled(now + milliseconds{60}).size() == 1);
+            }
+            THEN("a later request gets the answer for the retention time, also after the release, and the lock after it") {
+                (void)table.release({job, true, {}}, a, now);
+                (void)table.tick(now + cancellation::retention - milliseconds{1});
+                CHECK(table.acquire(request(job), b, now + cancellation::retention - milliseconds{1}).state == lock_state::ended);
+                (void)table.tick(now + cancellation::retention);
+                CHECK(table.acquire(request(job), b, now + cancellation::retention).state == lock_state::granted);
+            }
+        }
+    }
+    GIVEN("a cancelling of a job that nobody has asked for") {
+        CHECK(table.cancel({job, {}, false}, b, now).empty());
+        THEN("it is confirmed at once as not known, and a request gets the answer") {
+            const auto confirmed = table.take_cancelled(now);
+            REQUIRE(confirmed.size() == 1);
+            CHECK(!confirmed.front().known);
+            CHECK(table.acquire(request(job), a, now).state == lock_state::ended);
+        }
+    }
+    GIVEN("a job that has completed") {
+        REQUIRE(table.acquire(request(job), a, now).state == lock_state::granted);
+        const job::answer completed{job::outcome::completed, errc::ok, {}};
+        (void)table.release({job, true, completed}, a, now);
+        WHEN("it is cancelled") {
+            CHECK(table.cancel({job, {}, false}, b, now).empty());
+            THEN("its answer stays, for as long as that of a cancelled job") {
+                CHECK(!table.take_cancelled(now).front().known);
+                now += seconds{20};
+                (void)table.tick(now);
+                CHECK(table.acquire(request(job), b, now).answer == completed);
+            }
+        }
+    }
+    GIVEN("more cancelled jobs than are remembered") {
+        for(std::size_t number = 0; number < cancellation::max_remembered + 10; ++number) {
+            (void)table.cancel({job_id{std::to_string(number)}, {}, false}, b, now);
+        }
+        THEN("the oldest are forgotten") {
+            (void)table.take_cancelled(now);
+            (void)table.tick(now);
+            CHECK(table.size() == cancellation::max_remembered);
+        }
+    }
+}
--- a/tests/member/passing_on.cpp
+++ b/tests/member/passing_on.cpp
@@ -35,6 +35,7 @@
     void report(const pool::report_order &) override {}
     void release(const target_id &) override {}
     void reply(gateway::request_token, const job_id &, const job::answer &) override {}
+    void cancel_answered(gateway::request_token, const job_id &, gateway::cancel_result) override {}
     void save_statistics(const std::string &, const std::string &) override {}
     void config_changed(const route::route_config &config) override { in_force.push_back(config.limits); }
     [[nodiscard]] time_point now() const override { return time; }
--- a/tests/platform/repeated_requests.cpp
+++ b/tests/platform/repeated_requests.cpp
@@ -166,6 +166,53 @@
     }
 }
 
+// Guards against a cancelling that is known only to the host that has the caller's first request.
+SCENARIO("A request to cancel a job holds in all failure domains", "[platform][repeated-requests][cancel]") {
+    GIVEN("two failure domains with a leader each") {
+        platform::standin::deployment_options options;
+        options.program = HEATHERMOOR_PLATFORM_PROGRAM;
+        options.domains = domains;
+        options.hosts = 4;
+        options.targets = 100;
+        deployment all{options};
+        for(std::size_t host = 0; host < all.hosts(); ++host) {
+            all.start(host);
+        }
+        REQUIRE(all.wait_ready(all.hosts(), timeout));
+        REQUIRE(wait_led(all));
+        all.run_for(milliseconds{1'000});
+
+        WHEN("jobs are cancelled through the other domain, and their requests arrive again at all hosts") {
+            constexpr std::size_t cancelled_jobs = 12;
+            constexpr platform::standin::simulated_work long_work{milliseconds{2'500}, 4'000};
+            for(std::size_t job = 0; job < cancelled_jobs; ++job) {
+                const request_copy first{host_in(all, job % 2, job / 2), milliseconds{0}, std::nullopt};
+                const request_copy cancel{host_in(all, (job + 1) % 2, job / 4), milliseconds{400}, std::nullopt, true};
+                std::vector<request_copy> copies{first, cancel};
+                for(std::size_t host = 0; host < all.hosts(); ++host) {
+                    copies.push_back({host, milliseconds{1'000 + 500 * host}, std::nullopt});
+                }
+                all.send_copies(tasks_per_job, long_work, copies);
+                all.run_for(job_interval);
+            }
+            all.finish(timeout);
+            THEN("each is acknowledged, and nothing starts after that") {
+                constexpr int ok = 200;
+                for(const auto &one: all.copy_results()) {
+                    INFO("job " << one.job << " at host " << one.copy.host << ", cancels " << one.copy.cancels);
+                    CHECK(one.status == ok);
+                    CHECK((one.copy.cancels || one.body.find("failed") != std::string::npos));
+                }
+                CHECK(all.counts().starts == cancelled_jobs * tasks_per_job);
+                for(const auto &line: all.violations()) {
+                    UNSCOPED_INFO(line);
+                }
+                CHECK(all.violations().empty());
+            }
+        }
+    }
+}
+
 // Guards against runs for a caller who is gone: the request is read late, when its connection has ended already.
 SCENARIO("A request whose caller has left before it is read starts nothing", "[platform][repeated-requests]") {
     GIVEN("a host that stands still while requests arrive and their callers leave") {
--- a/tests/support/pool_world.hpp
+++ b/tests/support/pool_world.hpp
@@ -108,6 +108,26 @@
     void cut_store(bool cut) { m_store_cut = cut; }
     void set_faults(world_faults faults) { m_faults = faults; }
 
+    /// @brief Sends one job to a host.
+    /// @param id Id of the job; not used before.
+    void send_job_to(std::size_t host, const job_id &id);
+    /// @brief Sends a copy of a job's request to a host, which may be late; it is sent only once.
+    void send_copy_to(std::size_t host, const job_id &id);
+    /// @brief Sends a caller's request to cancel a job to a host.
+    /// @param host Index of the host.
+    /// @param id Job, which may be unknown.
+    /// @param limit Time for which the caller waits.
+    /// @return Number of the request, for `cancel_answer`.
+    std::uint64_t cancel_at(std::size_t host, const job_id &id, milliseconds limit = milliseconds{3'000});
+    /// @brief Answer to a request to cancel a job.
+    /// @return Outcome; none while it is open, or if its host has ended.
+    [[nodiscard]] std::optional<gateway::cancel_result> cancel_answer(std::uint64_t request) const;
+    /// @brief Time from a request to cancel a job until its answer.
+    [[nodiscard]] duration cancel_time(std::uint64_t request) const;
+    /// @brief Starts of a job's tasks that hosts have ordered.
+    [[nodiscard]] std::uint64_t starts_of(const job_id &id) const;
+    /// @brief Active runs of a job's tasks.
+    [[nodiscard]] std::size_t runs_of(const job_id &id);
     /// @brief Stores a new version of the configuration, one higher than the latest.
     void publish_config();
     /// @brief Stores a version of the configuration that no host can decode.
@@ -170,6 +190,15 @@
         job_record record;
         /// Entry host of a job with a kind.
         std::size_t entry_host{};
+        std::uint64_t starts_ordered{};
+        /// When a request to cancel it was acknowledged.
+        std::optional<time_point> cancel_acknowledged_at;
+    };
+    struct cancel_call {
+        job_id job;
+        time_point sent_at;
+        time_point answered_at;
+        std::optional<gateway::cancel_result> result;
     };
     struct open_call {
         job_id job;
@@ -198,6 +227,10 @@
     void send_job();
     void send_job_of(const job_kind &kind);
     void submit(const job_id &job, std::uint32_t attempt);
+    void submit_to(std::size_t host, const job_id &job, std::uint32_t attempt);
+    [[nodiscard]] job::definition draw_definition(const job_id &id);
+    void cancel_answered(gateway::request_token request, gateway::cancel_result result);
+    void check_order(const pool::start_order &order);
     void repeat_at_random(const job_id &job);
     void break_connection(const job_id &job, bool latest);
     void reply(gateway::request_token request, const job::answer &answer);
@@ -263,6 +296,7 @@
     double m_load{};
     std::map<job_id, known_job> m_jobs;
     std::map<std::uint64_t, open_call> m_callers;
+    std::map<std::uint64_t, cancel_call> m_cancels;
     std::uint64_t m_next_request{1};
     std::uint64_t m_sent{};
     std::uint64_t m_claims{};
--- a/tests/support/pool_world_callers.cpp
+++ b/tests/support/pool_world_callers.cpp
@@ -20,9 +20,9 @@
 
 } // namespace
 
-void pool_world::send_job() {
+job::definition pool_world::draw_definition(const job_id &id) {
     job::definition definition;
-    definition.id = job_id{fmt::format("{:016x}", m_sent++)};
+    definition.id = id;
     job::step one;
     one.tasks = 1 + static_cast<std::uint32_t>(m_random() % 8);
     one.need = {5'000 + static_cast<std::int64_t>(m_random() % 3'000), 64, 0};
@@ -34,8 +34,12 @@
         one.required_label = std::string{"a"};
     }
     definition.steps.push_back(one);
-    const auto id = definition.id;
-    m_jobs[id].definition = std::move(definition);
+    return definition;
+}
+
+void pool_world::send_job() {
+    const job_id id{fmt::format("{:016x}", m_sent++)};
+    m_jobs[id].definition = draw_definition(id);
     submit(id, 1);
     if(m_options.repeated > 0 && std::uniform_real_distribution<double>{}(m_random) < m_options.repeated) {
         repeat_at_random(id);
@@ -101,7 +105,11 @@
 
 void pool_world::submit(const job_id &job, std::uint32_t attempt) {
     auto &known = m_jobs.at(job);
-    const auto index = known.run_times.empty() ? static_cast<std::size_t>(m_random() % m_hosts.size()) : known.entry_host;
+    submit_to(known.run_times.empty() ? static_cast<std::size_t>(m_random() % m_hosts.size()) : known.entry_host, job, attempt);
+}
+
+void pool_world::submit_to(std::size_t index, const job_id &job, std::uint32_t attempt) {
+    auto &known = m_jobs.at(job);
     log_event(log_level::debug, "world", "submitted",
               {{"job", job}, {"host", index}, {"attempt", attempt}, {"at_ms", m_now.time_since_epoch()}});
     known.record.host = index;
--- a/tests/support/pool_world_host.hpp
+++ b/tests/support/pool_world_host.hpp
@@ -54,6 +54,7 @@
     void read_from(feed::read_id read, log_offset from, milliseconds wait) override { world.read_config(index, read, raw(from), wait); }
 
     void start(const pool::start_order &order) override {
+        world.check_order(order);
         world.at(latency, [this, order, sender = process] { world.deliver_start(index, sender, order); });
     }
     void stop(const pool::stop_order &order) override {
@@ -66,6 +67,9 @@
     void release(const target_id &) override {}
 
     void reply(gateway::request_token request, const job_id &, const job::answer &answer) override { world.reply(request, answer); }
+    void cancel_answered(gateway::request_token request, const job_id &, gateway::cancel_result result) override {
+        world.cancel_answered(request, result);
+    }
 
     void save_statistics(const std::string &, const std::string &bytes) override { world.m_stored_statistics = bytes; }
 
