--- a/src/heathermoor/host/node.cpp
+++ b/src/heathermoor/host/node.cpp
@@ -123,6 +123,7 @@
     case wire::envelope::kPoolTargets:
     case wire::envelope::kPoolLearned:
     case wire::envelope::kPoolLocked:
+    case wire::envelope::kPoolCancels:
     case wire::envelope::BODY_NOT_SET:
         break;
     }
--- a/src/heathermoor/lock/lock_client.hpp
+++ b/src/heathermoor/lock/lock_client.hpp
@@ -98,6 +98,11 @@
     /// @param host Host that sent the answer.
     void heard(const host_id &host);
 
+    /// @brief Records another message to a host, by which it counts this leader as alive: a lost release is made up for meanwhile.
+    /// @param host Host that leads a home cell.
+    /// @param now Reading of the monotonic clock.
+    void contacted(const host_id &host, time_point now) { m_health[host].used_at = now; }
+
     /// @brief Replaces the cells of the deployment.
     /// @param cells All cells.
     /// @param now Reading of the monotonic clock.
--- a/src/heathermoor/lock/lock_table.cpp
+++ b/src/heathermoor/lock/lock_table.cpp
@@ -32,6 +32,7 @@
     m_cancelled.clear();
     m_cancel_waiters.clear();
     m_collecting_until = now + internal::collection_time;
+    m_registering_until = now + holder_silence_limit;
 }
 
 bool lock_table::is_silent(const holder_ref &holder, time_point now) const {
@@ -147,10 +148,11 @@
     std::erase_if(m_cancel_waiters, [&](const auto &asked) {
         const auto &[id, from] = asked;
         const auto found = m_entries.find(id);
-        if(found != m_entries.end() && is_held(found->second, now)) {
+        const bool asked_for = found != m_entries.end() && found->second.asked;
+        if(asked_for ? is_held(found->second, now) : now < m_registering_until) {
             return false;
         }
-        const bool known = found != m_entries.end() && found->second.asked && found->second.answer == cancellation::cancelled_answer;
+        const bool known = asked_for && found->second.answer == cancellation::cancelled_answer;
         result.push_back({from, id, known});
         return true;
     });
--- a/src/heathermoor/lock/lock_table.hpp
+++ b/src/heathermoor/lock/lock_table.hpp
@@ -120,6 +120,8 @@
     std::map<holder_ref, time_point> m_heard;
     /// Until when holders may not have registered their locks yet.
     time_point m_collecting_until;
+    /// Until when a job of which nothing is known may still be registered by its holder.
+    time_point m_registering_until;
     time_point m_next_sweep;
 };
 
--- a/src/heathermoor/member/member_cancels.cpp
+++ b/src/heathermoor/member/member_cancels.cpp
@@ -86,6 +86,7 @@
             to_wire(one, *message.mutable_pool_locked()->add_cancels());
         }
         send_locks(host, std::move(message));
+        m_locks.contacted(host, at);
     }
 }
 
--- a/tests/member/cancelled_jobs.cpp
+++ b/tests/member/cancelled_jobs.cpp
@@ -45,6 +45,7 @@
         set_chosen_log_level();
         world.run(seconds{3});
         REQUIRE(world.leaders() == domains);
+        homes.set_cells(world.host(0).cells().all(), time_point{});
     }
 
     /// Host that leads a failure domain.
@@ -72,8 +73,6 @@
 
     /// New job whose home is the cell of a failure domain.
     [[nodiscard]] job_id job_at_home_in(std::uint32_t domain) {
-        lock::home_map homes;
-        homes.set_cells(world.host(0).cells().all(), time_point{});
         const auto wanted = failure_domain_id{fmt::format("d{}", domain)};
         for(;;) {
             const job_id id{fmt::format("{:016x}", next_job++)};
@@ -110,6 +109,7 @@
     }
 
     pool_world world;
+    lock::home_map homes;
     std::uint64_t next_job{0x1000};
 };
 
