--- a/src/heathermoor/cancellation/cancel_desk.cpp
+++ b/src/heathermoor/cancellation/cancel_desk.cpp
@@ -15,6 +15,18 @@
     forget_old(now);
 }
 
+void cancel_desk::keep(const notice &received, time_point now) {
+    const auto [found, is_new] = m_entries.try_emplace(received.id);
+    if(!is_new) {
+        return;
+    }
+    found->second.asked_at = now - received.age;
+    found->second.known = received.known;
+    m_unconfirmed.insert(received.id);
+    m_order.push_back({received.id, found->second.asked_at});
+    forget_old(now);
+}
+
 void cancel_desk::abandon(gateway::request_token request) {
     for(const auto &id: m_unconfirmed) {
         std::erase_if(m_entries.at(id).requests, [request](const waiting_request &one) { return one.request == request; });
--- a/src/heathermoor/cancellation/cancel_desk.hpp
+++ b/src/heathermoor/cancellation/cancel_desk.hpp
@@ -31,6 +31,11 @@
     /// @param now Reading of the monotonic clock.
     void ask(gateway::request_token request, const job_id &id, bool known, duration limit, time_point now);
 
+    /// @brief Remembers a cancelling for another host, whose loss would else take it along.
+    /// @param received Job and age of the caller's request.
+    /// @param now Reading of the monotonic clock.
+    void keep(const notice &received, time_point now);
+
     /// @brief Handles a caller that closed its connection; the job stays cancelled.
     /// @param request Token of the caller's request; any other is ignored.
     void abandon(gateway::request_token request);
--- a/src/heathermoor/member/member.hpp
+++ b/src/heathermoor/member/member.hpp
@@ -286,6 +286,8 @@
     /// Passes cancellings to the leader, and answers to callers.
     void flush_cancels();
     void tick_cancels(time_point now);
+    /// Has another host of the cell remember what this leader's own callers have cancelled.
+    void keep_elsewhere(const wire::pool_cancellings &cancels);
     /// Passes the cancellings of this leader's gateways to the homes of the jobs.
     void relay_cancels();
     /// Cancels jobs whose home is this cell.
--- a/src/heathermoor/member/member_cancels.cpp
+++ b/src/heathermoor/member/member_cancels.cpp
@@ -56,10 +56,19 @@
         }
         flush_cancels();
     }
-    if(!m_leading || body.term() != raw(m_term) || body.notices().empty()) {
+    auto notices = from_wire(body.notices());
+    if(body.term() == 0) {
+        for(const auto &received: notices) {
+            m_cancel_desk.keep(received, now());
+        }
         return;
     }
-    auto notices = from_wire(body.notices());
+    if(!m_leading || body.term() != raw(m_term) || notices.empty()) {
+        return;
+    }
+    if(sender.host == m_settings.self) {
+        keep_elsewhere(body);
+    }
     for(auto &received: notices) {
         received.known = received.known || m_locks.knows(received.id);
         m_cancel_relay.submit(sender, received, now());
@@ -73,6 +82,17 @@
     confirm_cancels();
 }
 
+void member::keep_elsewhere(const wire::pool_cancellings &cancels) {
+    for(const auto &host: m_election.alive(now())) {
+        if(host != m_settings.self) {
+            wire::envelope message;
+            *message.mutable_pool_cancels()->mutable_notices() = cancels.notices();
+            send(host, std::move(message));
+            return;
+        }
+    }
+}
+
 void member::relay_cancels() {
     const auto at = now();
     m_cancel_relay.tick(m_locks, at);
--- a/tests/lock/lock_table.cpp
+++ b/tests/lock/lock_table.cpp
@@ -189,7 +189,27 @@
             }
         }
     }
+    GIVEN("a cancelling of a job that nobody has asked for, while a holder may not have registered it yet") {
+        CHECK(table.cancel({job, {}, false}, b, now).empty());
+        CHECK(table.take_cancelled(now).empty());
+        WHEN("a holder registers it") {
+            CHECK(table.acquire(request(job, true), a, now).state == lock_state::ended);
+            THEN("it is confirmed as known") {
+                const auto confirmed = table.take_cancelled(now);
+                REQUIRE(confirmed.size() == 1);
+                CHECK(confirmed.front().known);
+            }
+        }
+        WHEN("the time for that is over") {
+            THEN("it is confirmed as not known") {
+                const auto confirmed = table.take_cancelled(now + seconds{1});
+                REQUIRE(confirmed.size() == 1);
+                CHECK(!confirmed.front().known);
+            }
+        }
+    }
     GIVEN("a cancelling of a job that nobody has asked for") {
+        now += seconds{1};
         CHECK(table.cancel({job, {}, false}, b, now).empty());
         THEN("it is confirmed at once as not known, and a request gets the answer") {
             const auto confirmed = table.take_cancelled(now);
