--- a/src/heathermoor/host/node.cpp
+++ b/src/heathermoor/host/node.cpp
@@ -125,6 +125,7 @@
     case wire::envelope::kPoolLocked:
     case wire::envelope::kPoolEvacuated:
     case wire::envelope::kPoolLent:
+    case wire::envelope::kPoolCancels:
     case wire::envelope::BODY_NOT_SET:
         break;
     }
