Reservations for jobs that can't start yet: module, strategies and wiring (not yet tested as a whole)

Change: a profile of free room over time, reservations, three strategies and their place in the scheduler, off unless set.

--- a/src/heathermoor/pool/fwd.hpp
+++ b/src/heathermoor/pool/fwd.hpp
@@ -9,6 +9,7 @@
 class holder_listener;
 class target_holder;
 class scheduler;
+struct candidate;
 class job_forecast;
 class run_time_estimator;
 class size_ranking;
--- a/src/heathermoor/pool/scheduler.cpp
+++ b/src/heathermoor/pool/scheduler.cpp
@@ -80,6 +80,10 @@
     m_closed.clear();
     m_reports_due.clear();
     m_settling_until.reset();
+    m_plan.reset();
+    m_reserved.clear();
+    m_rows.clear();
+    m_book.clear();
 }
 
 void scheduler::submit(submission work, time_point now) {
@@ -332,11 +336,13 @@
         }
         m_recent_answers[job.job.id] = {answer, now};
     }
+    end_reservation(job, reservation::reservation_end::missed, now);
     close(job, now);
 }
 
 void scheduler::close(open_job &job, time_point now) {
     job.closing = true;
+    end_reservation(job, reservation::reservation_end::dropped, now);
     update_queue(job);
     job.gateways.clear();
     for(const auto &slot: job.slots) {
@@ -412,6 +418,7 @@
     end_unreachable_jobs(now);
     std::erase_if(m_recent_answers, [now](const auto &item) { return now - item.second.at > internal::recent_answer_time; });
     std::erase_if(m_orphan_ends, [now](const auto &item) { return now - item.second.ended_at > internal::recent_answer_time; });
+    update_reservations(now);
     m_place_due = true;
     place(now);
     refuse_overload(now);
--- a/src/heathermoor/pool/scheduler.hpp
+++ b/src/heathermoor/pool/scheduler.hpp
@@ -4,6 +4,7 @@
 #include "heathermoor/placement/target_health.hpp"
 #include "heathermoor/pool/job_forecast.hpp"
 #include "heathermoor/pool/job_size.hpp"
+#include "heathermoor/pool/placing_round.hpp"
 #include "heathermoor/pool/ports.hpp"
 #include "heathermoor/pool/run_statistics.hpp"
 #include "heathermoor/pool/run_time_estimator.hpp"
@@ -12,8 +13,11 @@
 #include "heathermoor/pool/submission.hpp"
 #include "heathermoor/pool/target_holder.hpp"
 #include "heathermoor/pool/target_room.hpp"
+#include "heathermoor/reservation/backfill.hpp"
+#include "heathermoor/reservation/book.hpp"
 #include <cstdint>
 #include <map>
+#include <memory>
 #include <optional>
 #include <set>
 #include <string>
@@ -40,6 +44,14 @@
     /// @param catalog_next Offset in the target catalog up to which the two lists are current.
     void set_targets(const std::vector<scoped_target> &targets, std::set<target_id> known, log_offset catalog_next);
 
+    /// @brief Sets how room is kept for jobs that can't start yet; `none` unless it is called.
+    /// @param kind Strategy, from the next tick on.
+    void set_backfill(reservation::backfill_kind kind) { m_backfill = reservation::make_backfill(kind); }
+
+    /// @brief Reservations of the present plan, for inspection.
+    /// @return Plan of the latest tick; null if there is none.
+    [[nodiscard]] const reservation::plan *reservations() const noexcept { return m_plan ? &*m_plan : nullptr; }
+
     /// @brief Drops all targets and jobs without answers; gateways submit their jobs to the next scheduler.
     void resign();
 
@@ -172,6 +184,10 @@
     /// @return Counters; they only rise.
     [[nodiscard]] const scheduler_counts &counts() const noexcept { return m_counts; }
 
+    /// @brief Counters of reservations since the scheduler was created.
+    /// @return Counters; they only rise.
+    [[nodiscard]] const reservation::reservation_counts &reservation_counts() const noexcept { return m_book.counts(); }
+
     /// @brief Counts the jobs in memory, including answered ones with runs that are still being stopped.
     /// @return Number of jobs.
     [[nodiscard]] std::size_t open_jobs() const noexcept { return m_jobs.size(); }
@@ -318,24 +334,6 @@
         placement::target_health health;
     };
 
-    /// @brief Free capacity of a target during one placement round.
-    struct candidate {
-        const held_target *target{};
-        resources free;
-        double speed{1.0};
-        /// Whether the leases of its runs may be extended; not known until a task would go there.
-        std::optional<bool> renewable;
-    };
-
-    /// @brief Room on the targets at the start of a placement round.
-    struct room_found {
-        std::vector<candidate> candidates;
-        /// Least processor capacity that any waiting task needs, in millicores; no candidate has less.
-        std::int64_t least_cpu{};
-        /// Much of the capacity is free, so that no target has to be kept for the jobs that need it most.
-        bool ample{};
-    };
-
     /// @brief Chances that a run ends before its job's deadline.
     struct run_outlook {
         /// If it goes on where it is.
@@ -344,13 +342,6 @@
         double moved{};
     };
 
-    /// @brief Properties by which targets are compared for a task.
-    struct target_fit {
-        double speed{1.0};
-        /// Processor capacity, in millicores, that the task would leave free.
-        std::int64_t cpu_left{};
-    };
-
     void open(submission work, time_point now);
     void join(open_job &job, const submission &work, time_point now);
     static void add_gateway(open_job &job, const gateway_ref &gateway);
@@ -424,6 +415,30 @@
     /// Starts tasks of a job where there is room; returns whether it started any.
     bool place_job(open_job &job, const speed_range &speeds, std::vector<candidate> &candidates, time_point now);
     void refuse_overload(time_point now);
+    /// Plans reservations anew, refuses jobs whose reservation is too late for them, and counts and logs new ones.
+    void update_reservations(time_point now);
+    [[nodiscard]] reservation::room_profile find_profile(time_point now);
+    [[nodiscard]] duration expected_run(const job::task_ref &task, const target_id &target) const;
+    [[nodiscard]] ready_tasks find_ready(const open_job &job) const;
+    [[nodiscard]] std::optional<reservation::request> request_of(open_job &job, time_point now) const;
+    void refuse_late_reservations(time_point now);
+    void log_reservation(const open_job &job, std::string_view event, const reservation::promise &made, time_point now) const;
+    void end_reservation(const open_job &job, reservation::reservation_end how, time_point now);
+    /// Starts tasks of a job as `place_job`, or holds it back so that it starts as a whole.
+    bool place_or_hold(open_job &job, const speed_range &speeds, std::vector<candidate> &candidates, time_point now);
+    /// Number of tasks of a job that could start now, up to the given one.
+    [[nodiscard]] std::uint32_t count_places(const open_job &job, const ready_tasks &ready, const speed_range &speeds,
+                                             std::vector<candidate> &candidates, time_point now) const;
+    /// Number of reservations of jobs that come before the given one.
+    [[nodiscard]] std::size_t reservations_ahead(const open_job &job) const;
+    /// Room on a target that a task of a job may use, beside the given number of reservations.
+    [[nodiscard]] resources room_beside(const candidate &one, duration run, std::size_t ahead, time_point now) const;
+    /// Run time of a task for which a reservation counts as safe from it.
+    [[nodiscard]] duration cautious_run(const open_job &job) const;
+    void record_start(const open_job &job, const candidate &chosen, const resources &need, time_point now);
+    [[nodiscard]] std::size_t most_tries() const;
+    /// Latest start with which the job is likely enough to make its deadline.
+    [[nodiscard]] time_point latest_useful_start(const open_job &job) const;
     void end_unreachable_jobs(time_point now);
     void check_pace(const held_target &target, const job::task_ref &task, const lease::run_entry &entry, time_point now,
                     std::vector<job_id> &unreachable);
@@ -457,6 +472,12 @@
     std::vector<closed_job> m_closed;
     scheduler_counts m_counts;
     size_ranking m_sizes;
+    std::unique_ptr<reservation::backfill> m_backfill{reservation::make_backfill(reservation::backfill_kind::none)};
+    /// Reservations as of the last tick, the queue positions of their jobs in the same order, and the rows of its targets.
+    std::optional<reservation::plan> m_plan;
+    std::vector<queue_position> m_reserved;
+    std::unordered_map<target_id, reservation::target_row> m_rows;
+    reservation::book m_book;
     /// Speed of the fastest targets that count as room, as of the last tick; zero if there was none.
     double m_fastest{1.0};
     /// Until when targets that are not held yet count as room: the scheduler has just begun, or lost a target to another holder.
--- a/src/heathermoor/pool/scheduler_placing.cpp
+++ b/src/heathermoor/pool/scheduler_placing.cpp
@@ -101,7 +101,7 @@
     return least;
 }
 
-scheduler::room_found scheduler::find_candidates(time_point now) {
+room_found scheduler::find_candidates(time_point now) {
     room_found found;
     std::int64_t free_cpu = 0;
     std::int64_t cpu = 0;
@@ -115,7 +115,9 @@
         cpu += target.entry.capacity.cpu_millicores;
         // Beside a run of an unknown job, a start would extend a lease that another scheduler relies on to end.
         if(free.cpu_millicores >= found.least_cpu && !target.ledger.has_foreign_run() && usable(target, now)) {
-            found.candidates.push_back({&target, free, m_speeds.speed(id), std::nullopt});
+            const auto row = m_rows.find(id);
+            found.candidates.push_back(
+                {&target, free, m_speeds.speed(id), std::nullopt, row == m_rows.end() ? std::nullopt : std::optional{row->second}});
         }
     }
     found.ample = static_cast<double>(free_cpu) > internal::ample_capacity_share * static_cast<double>(cpu);
@@ -125,8 +127,13 @@
 time_point scheduler::latest_start(const open_job &job) const {
     const auto fastest = std::max(1.0, m_fastest);
     const auto typical = from_ms(to_ms(job.forecast.longest(job.slots.size())) / fastest);
+    return std::min(job.sent_at + objective(job) - typical, latest_useful_start(job));
+}
+
+time_point scheduler::latest_useful_start(const open_job &job) const {
+    const auto fastest = std::max(1.0, m_fastest);
     const auto least = from_ms(to_ms(job.forecast.time_for(internal::worthwhile_chance, unfinished(job))) / fastest);
-    return std::min(job.sent_at + objective(job) - typical, job.deadline - least);
+    return job.deadline - least;
 }
 
 double scheduler::objective_speed(const open_job &job, time_point now) const {
@@ -146,16 +153,18 @@
     return std::min(needed, m_fastest * (1 - internal::speed_tolerance));
 }
 
-scheduler::candidate *scheduler::choose_target(const open_job &job, const task_slot &slot, const speed_range &speeds,
-                                               std::vector<candidate> &candidates, time_point now) {
+candidate *scheduler::choose_target(const open_job &job, const task_slot &slot, const speed_range &speeds,
+                                    std::vector<candidate> &candidates, time_point now) {
     const auto &step = job.job.steps[slot.step];
     const auto preferred_speed = speeds.for_objective;
+    const auto ahead = reservations_ahead(job);
+    const auto run = ahead > 0 ? cautious_run(job) : duration{};
     candidate *best = nullptr;
     target_fit best_fit;
     for(auto &one: candidates) {
         ++m_counts.targets_compared;
         if(one.target->entry.service != job.queue.service || !step.need.fits(one.free) || one.speed < speeds.for_deadline ||
-           !suits(job, slot, one)) {
+           !suits(job, slot, one) || !step.need.fits(room_beside(one, run, ahead, now))) {
             continue;
         }
         const auto &labels = one.target->entry.labels;
@@ -217,6 +226,7 @@
         }
         const auto &need = job.job.steps[slot.step].need;
         chosen->free -= need;
+        record_start(job, *chosen, need, now);
         started = true;
         slot.state = slot_state::placed;
         slot.target = chosen->target->entry.id;
@@ -309,6 +319,7 @@
     }
     auto largest = largest_free(candidates);
     std::vector<open_job *> placed;
+    auto tries = most_tries();
     for(const auto &[position, waiting]: m_queue) {
         auto &job = *waiting;
         ++m_counts.jobs_examined;
@@ -319,7 +330,10 @@
         auto speeds = speeds_for(job, now);
         speeds.for_objective = prefer_fastest ? std::numeric_limits<double>::infinity() : speeds.for_objective;
         ++m_counts.jobs_tried;
-        if(!place_job(job, speeds, candidates, now)) {
+        if(!place_or_hold(job, speeds, candidates, now)) {
+            if(--tries == 0) {
+                break;
+            }
             continue;
         }
         placed.push_back(&job);
