--- a/src/heathermoor/adapter/service_metrics.cpp
+++ b/src/heathermoor/adapter/service_metrics.cpp
@@ -87,6 +87,14 @@
         counter("heathermoor_placement_jobs_tried_total", "Waiting jobs for which placement rounds have sought a target.");
     prometheus::Counter &targets_compared =
         counter("heathermoor_placement_targets_compared_total", "Targets that placement rounds have compared for a task.");
+    prometheus::Family<prometheus::Counter> &reservations = prometheus::BuildCounter()
+                                                                .Name("heathermoor_reservations_total")
+                                                                .Help("Reservations for jobs that could not start, by what became of them.")
+                                                                .Register(registry);
+    prometheus::Counter &jobs_backfilled =
+        counter("heathermoor_jobs_backfilled_total", "Jobs that started before one with a reservation, ahead of them.");
+    prometheus::Counter &jobs_held_back =
+        counter("heathermoor_jobs_held_back_total", "Jobs that let others use room first that is too little for all of their tasks.");
     prometheus::Counter &task_starts = counter("heathermoor_task_starts_total", "Starts of tasks that were ordered.");
     prometheus::Counter &runs_failed = counter("heathermoor_runs_failed_total", "Runs that ended as failed.");
     prometheus::Counter &runs_lost = counter("heathermoor_runs_lost_total", "Runs whose lease lapsed or whose target restarted.");
@@ -139,6 +147,16 @@
     internal::raise_to(all.task_seconds.Add(labelled("figure", "measured")), internal::to_seconds(counts.measured_run_time));
 }
 
+void service_metrics::export_reservations(const reservation::reservation_counts &counts) {
+    auto &all = *m_families;
+    internal::raise_to(all.reservations.Add({{"state", "made"}}), static_cast<double>(counts.made));
+    internal::raise_to(all.reservations.Add({{"state", "met"}}), static_cast<double>(counts.met));
+    internal::raise_to(all.reservations.Add({{"state", "missed"}}), static_cast<double>(counts.missed));
+    internal::raise_to(all.reservations.Add({{"state", "too_late"}}), static_cast<double>(counts.refused));
+    internal::raise_to(all.jobs_backfilled, static_cast<double>(counts.backfilled));
+    internal::raise_to(all.jobs_held_back, static_cast<double>(counts.held));
+}
+
 std::string service_metrics::text(const service_state &state) {
     auto &all = *m_families;
     all.leading.Set(state.leading ? 1 : 0);
@@ -167,6 +185,7 @@
     internal::raise_to(all.jobs_examined, static_cast<double>(state.jobs_examined));
     internal::raise_to(all.jobs_tried, static_cast<double>(state.jobs_tried));
     internal::raise_to(all.targets_compared, static_cast<double>(state.targets_compared));
+    export_reservations(state.reservations);
     internal::raise_to(all.task_starts, static_cast<double>(state.task_starts));
     internal::raise_to(all.runs_failed, static_cast<double>(state.runs_failed));
     internal::raise_to(all.runs_lost, static_cast<double>(state.runs_lost));
--- a/src/heathermoor/adapter/service_metrics.hpp
+++ b/src/heathermoor/adapter/service_metrics.hpp
@@ -5,6 +5,7 @@
 #include "heathermoor/job/job.hpp"
 #include "heathermoor/metrics/work_meter.hpp"
 #include "heathermoor/pool/job_size.hpp"
+#include "heathermoor/reservation/book.hpp"
 #include <cstdint>
 #include <map>
 #include <memory>
@@ -53,6 +54,7 @@
     std::uint64_t jobs_examined{};
     std::uint64_t jobs_tried{};
     std::uint64_t targets_compared{};
+    reservation::reservation_counts reservations;
     std::uint64_t task_starts{};
     std::uint64_t runs_failed{};
     std::uint64_t runs_lost{};
@@ -95,6 +97,7 @@
   private:
     struct families;
 
+    void export_reservations(const reservation::reservation_counts &counts);
     void export_group(const queue_id &queue, pool::size_class size, const pool::group_counts &counts);
 
     std::unique_ptr<families> m_families;
--- a/src/heathermoor/member/member.cpp
+++ b/src/heathermoor/member/member.cpp
@@ -60,6 +60,7 @@
       m_contacts{m_settings.self, m_settings.domain, out.peers}, m_cell{m_cells.of(m_settings.domain, m_settings.self)},
       m_scheduler{out.orders, *this, lease::token_source{hash64(m_settings.self.str())}} {
     m_election.take_part(false);
+    m_scheduler.set_backfill(m_settings.backfill);
     for(const auto &seed: m_settings.seeds) {
         add_host(seed);
     }
--- a/src/heathermoor/member/member.hpp
+++ b/src/heathermoor/member/member.hpp
@@ -33,6 +33,8 @@
     std::uint32_t millicores{};
     /// Hosts to contact at startup.
     std::vector<host_id> seeds;
+    /// How room is kept for jobs that can't start yet.
+    reservation::backfill_kind backfill{reservation::backfill_kind::none};
 };
 
 /// @brief Persists run statistics, so that they survive the loss of all hosts.
--- a/src/heathermoor/pool/scheduler.hpp
+++ b/src/heathermoor/pool/scheduler.hpp
@@ -424,8 +424,10 @@
     void refuse_late_reservations(time_point now);
     void log_reservation(const open_job &job, std::string_view event, const reservation::promise &made, time_point now) const;
     void end_reservation(const open_job &job, reservation::reservation_end how, time_point now);
-    /// Starts tasks of a job as `place_job`, or holds it back so that it starts as a whole.
+    /// Starts tasks of a job as `place_job`, or holds it back so that others may use the room first.
     bool place_or_hold(open_job &job, const speed_range &speeds, std::vector<candidate> &candidates, time_point now);
+    /// Starts tasks of the jobs that were held back in room that no other job has used; returns those that have started any.
+    std::vector<open_job *> place_held_back(std::vector<candidate> &candidates, time_point now);
     /// Number of tasks of a job that could start now, up to the given one.
     [[nodiscard]] std::uint32_t count_places(const open_job &job, const ready_tasks &ready, const speed_range &speeds,
                                              std::vector<candidate> &candidates, time_point now) const;
@@ -435,6 +437,7 @@
     [[nodiscard]] resources room_beside(const candidate &one, duration run, std::size_t ahead, time_point now) const;
     /// Run time of a task for which a reservation counts as safe from it.
     [[nodiscard]] duration cautious_run(const open_job &job) const;
+    /// Takes the room of a task that has just been started from the plan; ends the job's reservation with its last task.
     void record_start(const open_job &job, const candidate &chosen, const resources &need, time_point now);
     [[nodiscard]] std::size_t most_tries() const;
     /// Latest start with which the job is likely enough to make its deadline.
@@ -478,6 +481,8 @@
     std::vector<queue_position> m_reserved;
     std::unordered_map<target_id, reservation::target_row> m_rows;
     reservation::book m_book;
+    /// Jobs held back in the present placement round; empty between rounds.
+    std::vector<std::pair<open_job *, speed_range>> m_held_back;
     /// Speed of the fastest targets that count as room, as of the last tick; zero if there was none.
     double m_fastest{1.0};
     /// Until when targets that are not held yet count as room: the scheduler has just begun, or lost a target to another holder.
--- a/src/heathermoor/pool/scheduler_placing.cpp
+++ b/src/heathermoor/pool/scheduler_placing.cpp
@@ -226,7 +226,6 @@
         }
         const auto &need = job.job.steps[slot.step].need;
         chosen->free -= need;
-        record_start(job, *chosen, need, now);
         started = true;
         slot.state = slot_state::placed;
         slot.target = chosen->target->entry.id;
@@ -234,6 +233,7 @@
         slot.placed_speed = chosen->speed;
         ++slot.last_run;
         slot.pace_observed = false;
+        record_start(job, *chosen, need, now);
         job.ever_started = true;
         ++m_counts.starts;
         log_event(log_level::debug, "pool", "run_ordered",
@@ -343,6 +343,8 @@
         }
         largest = largest_free(candidates);
     }
+    const auto late = place_held_back(candidates, now);
+    placed.insert(placed.end(), late.begin(), late.end());
     for(auto *job: placed) {
         update_queue(*job);
     }
--- a/src/heathermoor/pool/scheduler_reserving.cpp
+++ b/src/heathermoor/pool/scheduler_reserving.cpp
@@ -5,6 +5,7 @@
 #include <algorithm>
 #include <cmath>
 #include <limits>
+#include <utility>
 
 namespace heathermoor::pool {
 
@@ -37,7 +38,8 @@
     reservation::room_profile room{now};
     m_rows.clear();
     for(const auto &[id, target]: m_holder.targets()) {
-        if(!target.entry_applies() || target.ledger.has_foreign_run() || !usable(target, now)) {
+        const bool able = target.state == hold_state::held && target.may_serve() && m_target_states[id].health.limit(1, now) > 0;
+        if(!able || !target.entry_applies() || target.ledger.has_foreign_run()) {
             continue;
         }
         std::vector<reservation::release> releases;
@@ -47,7 +49,15 @@
                                  : reservation::predicted_end(run.ordered_at, expected_run(task, id), now);
             releases.push_back({end, run.need});
         }
-        m_rows.emplace(id, room.add(target.ledger.free(), std::move(releases)));
+        if(usable(target, now)) {
+            m_rows.emplace(id, room.add(target.ledger.free(), std::move(releases)));
+        } else if(!releases.empty()) {
+            // It has as many runs as it may have for now.
+            const auto by_time = [](const auto &left, const auto &right) { return left.at < right.at; };
+            const auto first = std::min_element(releases.begin(), releases.end(), by_time)->at;
+            releases.push_back({first, target.ledger.free()});
+            m_rows.emplace(id, room.add({}, std::move(releases)));
+        }
     }
     return room;
 }
@@ -229,6 +239,7 @@
         if(places < ready.count || ready.count == 0) {
             if(places > 0) {
                 m_book.hold(job.job.id);
+                m_held_back.emplace_back(&job, speeds);
             }
             return false;
         }
@@ -238,18 +249,31 @@
     if(started && passes) {
         m_book.backfilled();
     }
-    if(started && find_ready(job).count == 0) {
-        const auto *made = m_book.find(job.job.id);
-        const bool in_time = made != nullptr && now <= made->latest;
-        end_reservation(job, in_time ? reservation::reservation_end::met : reservation::reservation_end::missed, now);
-    }
     return started;
 }
 
+std::vector<scheduler::open_job *> scheduler::place_held_back(std::vector<candidate> &candidates, time_point now) {
+    std::vector<open_job *> placed;
+    for(const auto &[job, speeds]: std::exchange(m_held_back, {})) {
+        if(place_job(*job, speeds, candidates, now)) {
+            placed.push_back(job);
+        }
+    }
+    return placed;
+}
+
 void scheduler::record_start(const open_job &job, const candidate &chosen, const resources &need, time_point now) {
-    if(m_plan && chosen.row) {
+    if(!m_plan) {
+        return;
+    }
+    if(chosen.row) {
         m_plan->started(*chosen.row, need, now + from_ms(to_ms(job.forecast.typical()) / chosen.speed));
     }
+    if(find_ready(job).count == 0) {
+        const auto *made = m_book.find(job.job.id);
+        const bool in_time = made != nullptr && now <= made->latest;
+        end_reservation(job, in_time ? reservation::reservation_end::met : reservation::reservation_end::missed, now);
+    }
 }
 
 std::size_t scheduler::most_tries() const {
--- a/src/heathermoor/reservation/book.hpp
+++ b/src/heathermoor/reservation/book.hpp
@@ -16,7 +16,7 @@
     std::uint64_t missed{};
     /// Jobs that started while one with a reservation, ahead of them, waited.
     std::uint64_t backfilled{};
-    /// Jobs of which some tasks could have started, once each, that waited to start as a whole.
+    /// Jobs of which some tasks could have started, once each, that let others use the room first.
     std::uint64_t held{};
     /// Jobs refused because their reservation came too late for their deadline.
     std::uint64_t refused{};
@@ -49,7 +49,7 @@
     /// @return Jobs that have a reservation for the first time.
     std::vector<job_id> update(const plan &current, time_point now);
 
-    /// @brief Counts a job that is held back to start as a whole, once.
+    /// @brief Counts a job that is held back so that others may use the room first, once.
     /// @param job Job.
     void hold(const job_id &job);
 
