--- a/src/heathermoor/pool/scheduler_reserving.cpp
+++ b/src/heathermoor/pool/scheduler_reserving.cpp
@@ -244,7 +244,7 @@
             return false;
         }
     }
-    const bool passes = !begun && !has_reservation && reservations_ahead(job) > 0;
+    const bool passes = !begun && reservations_ahead(job) > 0;
     const bool started = place_job(job, speeds, candidates, now);
     if(started && passes) {
         m_book.backfilled();
