--- a/bench/reservation/main.cpp
+++ b/bench/reservation/main.cpp
@@ -6,7 +6,7 @@
 
 namespace {
 
-constexpr std::uint64_t seeds = 5;
+constexpr std::uint64_t seeds = 20;
 
 void add(placement_figures &sum, const placement_figures &one) {
     sum.wide += one.wide;
