--- a/tests/reservation/backfill.cpp
+++ b/tests/reservation/backfill.cpp
@@ -97,8 +97,8 @@
 SCENARIO("A smaller job may pass if the reservation is still met", "[reservation]") {
     const half_full targets;
     // Four tasks start at 300 ms and may be pushed back to 320 ms.
-    const auto made = make_backfill(backfill_kind::aggressive)
-                          ->arrange(targets.room, std::vector<request>{targets.job_of("wide", 4, 32, 400, 320)});
+    const auto made =
+        make_backfill(backfill_kind::aggressive)->arrange(targets.room, std::vector<request>{targets.job_of("wide", 4, 32, 400, 320)});
     REQUIRE(made.find(job_id{"wide"}) != nullptr);
     REQUIRE(made.find(job_id{"wide"})->start == after(300));
     const auto row = targets.rows.front();
@@ -106,8 +106,12 @@
         CHECK(made.room_beside(row, cores(32), after(250), 1) == cores(32));
         CHECK(made.room_beside(row, cores(32), after(320), 1) == cores(32));
     }
-    THEN("one that ends later may not") { CHECK(made.room_beside(row, cores(32), after(321), 1) == cores(0)); }
-    THEN("a job that comes before the reserved one is free to") { CHECK(made.room_beside(row, cores(32), after(900), 0) == cores(32)); }
+    THEN("one that ends later may not") {
+        CHECK(made.room_beside(row, cores(32), after(321), 1) == cores(0));
+    }
+    THEN("a job that comes before the reserved one is free to") {
+        CHECK(made.room_beside(row, cores(32), after(900), 0) == cores(32));
+    }
 }
 
 SCENARIO("Reservations are dropped with their jobs", "[reservation]") {
@@ -123,7 +127,9 @@
         }
         WHEN("the job leaves") {
             made.drop(job_id{"wide"});
-            THEN("its room is free for others") { CHECK(made.room_beside(targets.rows.front(), cores(32), after(900), 1) == cores(32)); }
+            THEN("its room is free for others") {
+                CHECK(made.room_beside(targets.rows.front(), cores(32), after(900), 1) == cores(32));
+            }
         }
         WHEN("it starts in time") {
             CHECK(promises.end(job_id{"wide"}, reservation_end::met));
