--- a/src/heathermoor/member/member.cpp
+++ b/src/heathermoor/member/member.cpp
@@ -61,6 +61,7 @@
       m_scheduler{out.orders, *this, lease::token_source{hash64(m_settings.self.str())}} {
     m_election.take_part(false);
     m_scheduler.set_lending(m_settings.lending);
+    m_scheduler.set_backfill(m_settings.backfill);
     for(const auto &seed: m_settings.seeds) {
         add_host(seed);
     }
--- a/src/heathermoor/member/member.hpp
+++ b/src/heathermoor/member/member.hpp
@@ -40,6 +40,8 @@
     std::vector<host_id> seeds;
     /// Jobs that the own cell would refuse are lent to cells that have room.
     bool lending{};
+    /// How room is kept for jobs that can't start yet.
+    reservation::backfill_kind backfill{reservation::backfill_kind::none};
 };
 
 /// @brief Persists run statistics, so that they survive the loss of all hosts.
