--- a/src/heathermoor/heathermoor.hpp
+++ b/src/heathermoor/heathermoor.hpp
@@ -79,6 +79,7 @@
 #include "heathermoor/pool/ports.hpp"
 #include "heathermoor/pool/run_statistics.hpp"
 #include "heathermoor/pool/run_time_estimator.hpp"
+#include "heathermoor/pool/scheduled_job.hpp"
 #include "heathermoor/pool/scheduler.hpp"
 #include "heathermoor/pool/scheduler_counts.hpp"
 #include "heathermoor/pool/speed_model.hpp"
--- a/src/heathermoor/lock/lock_client.cpp
+++ b/src/heathermoor/lock/lock_client.cpp
@@ -188,11 +188,6 @@
     erase_if_unused(id);
 }
 
-bool lock_client::has_home(const job_id &id, const cell::cell_id &cell, time_point now) const {
-    const auto homes = m_homes.of(id, now);
-    return std::find(homes.begin(), homes.end(), cell) != homes.end();
-}
-
 void lock_client::end(const job_id &id, const job::answer &answer) {
     const auto found = m_jobs.find(id);
     if(found == m_jobs.end()) {
--- a/src/heathermoor/lock/lock_client.hpp
+++ b/src/heathermoor/lock/lock_client.hpp
@@ -71,13 +71,6 @@
     /// @return True from its first submission until its lock is released.
     [[nodiscard]] bool knows(const job_id &id) const { return m_jobs.contains(id); }
 
-    /// @brief Whether the lock of a job is kept by a cell.
-    /// @param id Job.
-    /// @param cell Cell.
-    /// @param now Reading of the monotonic clock.
-    /// @return True if the cell is one of the job's homes.
-    [[nodiscard]] bool has_home(const job_id &id, const cell::cell_id &cell, time_point now) const;
-
     /// @brief Releases the lock of a job that the scheduler has closed.
     /// @param request Job and how it ended.
     /// @param runs_end_at Time until which runs that an earlier leader started may be active.
--- a/src/heathermoor/member/member.hpp
+++ b/src/heathermoor/member/member.hpp
@@ -367,7 +367,7 @@
     void check_borrowed(time_point now);
     /// Lends or refuses the jobs that cannot start here in time.
     void place_overload(time_point now);
-    [[nodiscard]] bool may_lend(const pool::overloaded_job &job, time_point now) const;
+    [[nodiscard]] bool may_lend(const pool::overloaded_job &job) const;
     [[nodiscard]] bool lend(const pool::overloaded_job &job, time_point now);
     void send_lending_due(time_point now);
     void ask_for_room(std::map<lending::party, wire::envelope> &messages);
--- a/src/heathermoor/member/member_lending.cpp
+++ b/src/heathermoor/member/member_lending.cpp
@@ -295,18 +295,18 @@
     }
     const bool awaits_word = now - m_lending.pressed_since < internal::first_word_limit && m_locks.cells().size() > 1;
     for(const auto &job: std::vector<pool::overloaded_job>{m_scheduler.overload().jobs}) {
-        if(lend(job, now) || !job.refusable || (awaits_word && may_lend(job, now))) {
+        if(lend(job, now) || !job.refusable || (awaits_word && may_lend(job))) {
             continue;
         }
         const auto notice = m_lending.notices.find(job.id);
-        if(notice != m_lending.notices.end() && now - notice->second.sent_at < internal::notice_limit && may_lend(job, now)) {
+        if(notice != m_lending.notices.end() && now - notice->second.sent_at < internal::notice_limit && may_lend(job)) {
             continue;
         }
         log_event(log_level::info, "pool", "job_refused",
                   {{"job", job.id},
                    {"ahead_ms", job.ahead_ms},
                    {"slack_ms", job.slack_ms},
-                   {"lendable", may_lend(job, now)},
+                   {"lendable", may_lend(job)},
                    {"room", m_lending.rooms.has_room(job.service, job.need, now)},
                    {"noted", notice == m_lending.notices.end() ? 0 : notice->second.noted.size()}});
         m_scheduler.refuse(job.id, job.retry_after, now);
@@ -360,13 +360,12 @@
     }
 }
 
-bool member::may_lend(const pool::overloaded_job &job, time_point now) const {
-    // A leader that follows this one keeps the locks of this cell without a record of what was lent under them.
-    return job.lendable && m_lending.loans.may_lend(job.id) && !m_locks.has_home(job.id, m_cell, now);
+bool member::may_lend(const pool::overloaded_job &job) const {
+    return job.lendable && m_lending.loans.may_lend(job.id);
 }
 
 bool member::lend(const pool::overloaded_job &job, time_point now) {
-    if(!may_lend(job, now)) {
+    if(!may_lend(job)) {
         return false;
     }
     if(!m_lending.rooms.has_room(job.service, job.need, now) || !announce(job, now)) {
--- a/src/heathermoor/pool/scheduler_placing.cpp
+++ b/src/heathermoor/pool/scheduler_placing.cpp
@@ -299,7 +299,7 @@
     return largest;
 }
 
-const scheduler::speed_range &scheduler::speeds_for(open_job &job, time_point now) const {
+const speed_range &scheduler::speeds_for(open_job &job, time_point now) const {
     if(now - job.speeds_at >= internal::speeds_validity || job.speeds_fastest != m_fastest) {
         job.speeds = {objective_speed(job, now), deadline_speed(job, now)};
         job.speeds_at = now;
--- a/src/heathermoor/pool/scheduler_reserving.cpp
+++ b/src/heathermoor/pool/scheduler_reserving.cpp
@@ -252,7 +252,7 @@
     return started;
 }
 
-std::vector<scheduler::open_job *> scheduler::place_held_back(std::vector<candidate> &candidates, time_point now) {
+std::vector<open_job *> scheduler::place_held_back(std::vector<candidate> &candidates, time_point now) {
     std::vector<open_job *> placed;
     for(const auto &[job, speeds]: std::exchange(m_held_back, {})) {
         if(place_job(*job, speeds, candidates, now)) {
--- a/src/heathermoor/pool/scheduler_runs.cpp
+++ b/src/heathermoor/pool/scheduler_runs.cpp
@@ -23,7 +23,7 @@
 
 } // namespace internal
 
-scheduler::task_slot *scheduler::find_slot(open_job &job, const job::task_ref &task) {
+task_slot *scheduler::find_slot(open_job &job, const job::task_ref &task) {
     for(auto &slot: job.slots) {
         if(slot.step == task.step && slot.index == task.index) {
             return &slot;
@@ -32,7 +32,7 @@
     return nullptr;
 }
 
-scheduler::unwanted_run *scheduler::find_unwanted_run(task_slot &slot, const target_id &target) {
+unwanted_run *scheduler::find_unwanted_run(task_slot &slot, const target_id &target) {
     const auto found = std::find_if(slot.unwanted_runs.begin(), slot.unwanted_runs.end(),
                                     [&](const unwanted_run &unwanted) { return unwanted.target == target; });
     return found == slot.unwanted_runs.end() ? nullptr : &*found;
--- a/tests/member/uninformed_leader.cpp
+++ b/tests/member/uninformed_leader.cpp
@@ -24,6 +24,7 @@
     void report(const pool::report_order &order) override { reports.push_back(order); }
     void release(const target_id &) override {}
     void reply(gateway::request_token, const job_id &, const job::answer &) override {}
+    void cancel_answered(gateway::request_token, const job_id &, gateway::cancel_result) override {}
     void save_statistics(const std::string &, const std::string &) override {}
     void config_changed(const route::route_config &) override {}
     [[nodiscard]] time_point now() const override { return at; }
--- a/tests/platform/settings.cpp
+++ b/tests/platform/settings.cpp
@@ -44,3 +44,16 @@
     CHECK(field(replaced(complete_settings, R"("grace_s":6)", R"("grace_s":"x")")) == "bounds.grace_s");
     CHECK(field(replaced(complete_settings, R"("cpu_share":0.25)", R"("cpu_share":-1)")) == "limits.cpu_share");
 }
+
+SCENARIO("Lending between cells follows whether failure domains can be evacuated", "[platform][settings]") {
+    GIVEN("settings without a bound for evacuations") {
+        const auto settings = parse_settings(complete_settings).value;
+        CHECK_FALSE(settings.evacuates_domains);
+        CHECK_FALSE(settings.lend_between_cells);
+    }
+    GIVEN("settings with a bound for evacuations") {
+        const auto settings = parse_settings(replaced(complete_settings, R"("grace_s":6)", R"("grace_s":6,"evacuate_ms":5000)")).value;
+        CHECK(settings.evacuates_domains);
+        CHECK(settings.lend_between_cells);
+    }
+}
