Split the decision on overload into steps, and count loans in the metrics

refuse_overload had grown to 65 lines with evacuation and lending: what is ahead of a job, what the lender is told and what is logged are functions of their own now (pool::backlog). No change of behaviour. loans_total{state} and jobs_borrowed_total show lending to an operator.

--- a/src/heathermoor/adapter/service_metrics.cpp
+++ b/src/heathermoor/adapter/service_metrics.cpp
@@ -98,6 +98,12 @@
         counter("heathermoor_jobs_backfilled_total", "Jobs that started before one with a reservation, ahead of them.");
     prometheus::Counter &jobs_held_back =
         counter("heathermoor_jobs_held_back_total", "Jobs that let others use room first that is too little for all of their tasks.");
+    prometheus::Family<prometheus::Counter> &loans = prometheus::BuildCounter()
+                                                         .Name("heathermoor_loans_total")
+                                                         .Help("Jobs that the host lent to leaders of other cells, by what became of them.")
+                                                         .Register(registry);
+    prometheus::Counter &jobs_borrowed =
+        counter("heathermoor_jobs_borrowed_total", "Jobs that the host took over from leaders of other cells.");
     prometheus::Counter &task_starts = counter("heathermoor_task_starts_total", "Starts of tasks that were ordered.");
     prometheus::Counter &runs_failed = counter("heathermoor_runs_failed_total", "Runs that ended as failed.");
     prometheus::Counter &runs_lost = counter("heathermoor_runs_lost_total", "Runs whose lease lapsed or whose target restarted.");
@@ -160,6 +166,16 @@
     internal::raise_to(all.jobs_held_back, static_cast<double>(counts.held));
 }
 
+void service_metrics::export_lending(const lending::loan_counts &loans, const lending::borrow_counts &borrowed) {
+    auto &all = *m_families;
+    internal::raise_to(all.loans.Add({{"state", "lent"}}), static_cast<double>(loans.lent));
+    internal::raise_to(all.loans.Add({{"state", "answered"}}), static_cast<double>(loans.answered));
+    internal::raise_to(all.loans.Add({{"state", "returned"}}), static_cast<double>(loans.returned));
+    internal::raise_to(all.loans.Add({{"state", "lost"}}), static_cast<double>(loans.lost));
+    internal::raise_to(all.loans.Add({{"state", "expired"}}), static_cast<double>(loans.expired));
+    internal::raise_to(all.jobs_borrowed, static_cast<double>(borrowed.borrowed));
+}
+
 std::string service_metrics::text(const service_state &state) {
     auto &all = *m_families;
     all.leading.Set(state.leading ? 1 : 0);
@@ -191,6 +207,7 @@
     internal::raise_to(all.jobs_tried, static_cast<double>(state.jobs_tried));
     internal::raise_to(all.targets_compared, static_cast<double>(state.targets_compared));
     export_reservations(state.reservations);
+    export_lending(state.loans, state.borrowed);
     internal::raise_to(all.task_starts, static_cast<double>(state.task_starts));
     internal::raise_to(all.runs_failed, static_cast<double>(state.runs_failed));
     internal::raise_to(all.runs_lost, static_cast<double>(state.runs_lost));
--- a/src/heathermoor/adapter/service_metrics.hpp
+++ b/src/heathermoor/adapter/service_metrics.hpp
@@ -3,6 +3,8 @@
 #include "heathermoor/core/error.hpp"
 #include "heathermoor/core/time.hpp"
 #include "heathermoor/job/job.hpp"
+#include "heathermoor/lending/borrow_book.hpp"
+#include "heathermoor/lending/loan_book.hpp"
 #include "heathermoor/metrics/work_meter.hpp"
 #include "heathermoor/pool/job_size.hpp"
 #include "heathermoor/reservation/book.hpp"
@@ -59,6 +61,9 @@
     std::uint64_t jobs_tried{};
     std::uint64_t targets_compared{};
     reservation::reservation_counts reservations;
+    /// Jobs lent to leaders of other cells, and borrowed from them.
+    lending::loan_counts loans;
+    lending::borrow_counts borrowed;
     std::uint64_t task_starts{};
     std::uint64_t runs_failed{};
     std::uint64_t runs_lost{};
@@ -102,6 +107,7 @@
     struct families;
 
     void export_reservations(const reservation::reservation_counts &counts);
+    void export_lending(const lending::loan_counts &loans, const lending::borrow_counts &borrowed);
     void export_group(const queue_id &queue, pool::size_class size, const pool::group_counts &counts);
 
     std::unique_ptr<families> m_families;
--- a/src/heathermoor/pool/overload.hpp
+++ b/src/heathermoor/pool/overload.hpp
@@ -22,6 +22,21 @@
     std::int64_t largest_cpu_millicores{};
 };
 
+/// @brief Work that would be started before a waiting job, and how long the job can wait.
+struct backlog {
+    double ahead_ms{};
+    /// Share of the time until the job's latest start; zero once that has passed.
+    double slack_ms{};
+    /// Tasks of the job that the targets take at once.
+    std::int64_t places{};
+    /// Only evacuated targets could run it.
+    bool evacuated{};
+    /// To be refused, or run elsewhere: it has not begun and cannot start in time.
+    bool refusable{};
+    /// Time until a retry is likely to be accepted.
+    milliseconds retry_after{};
+};
+
 /// @brief Job that cannot start in time on the targets of its scheduler, and of which nothing was started.
 struct overloaded_job {
     job_id id;
--- a/src/heathermoor/pool/scheduler.hpp
+++ b/src/heathermoor/pool/scheduler.hpp
@@ -333,7 +333,12 @@
     bool place_job(open_job &job, const speed_range &speeds, std::vector<candidate> &candidates, time_point now);
     void refuse_overload(time_point now);
     [[nodiscard]] static job_need total_need(const open_job &job);
-    [[nodiscard]] static overloaded_job describe_overload(const open_job &job);
+    [[nodiscard]] static overloaded_job describe_overload(const open_job &job, const backlog &found);
+    /// Time in ms that the waiting tasks of a job take the given number of places.
+    [[nodiscard]] static double work_of_waiting(const open_job &job, std::int64_t places);
+    [[nodiscard]] backlog find_backlog(const open_job &job, const target_room &room, double ahead_ms, time_point now) const;
+    void report_overload(const open_job &job, const backlog &found);
+    void log_refused(const open_job &job, const backlog &found) const;
     /// Plans reservations anew, refuses jobs whose reservation is too late for them, and counts and logs new ones.
     void update_reservations(time_point now);
     [[nodiscard]] reservation::room_profile find_profile(time_point now);
--- a/src/heathermoor/pool/scheduler_overload.cpp
+++ b/src/heathermoor/pool/scheduler_overload.cpp
@@ -24,13 +24,17 @@
     return need;
 }
 
-overloaded_job scheduler::describe_overload(const open_job &job) {
+overloaded_job scheduler::describe_overload(const open_job &job, const backlog &found) {
     const auto &steps = job.job.steps;
     overloaded_job result;
     result.id = job.job.id;
     result.service = job.queue.service;
     result.need = total_need(job);
     result.gateways = job.gateways;
+    result.retry_after = found.retry_after;
+    result.ahead_ms = found.ahead_ms;
+    result.slack_ms = found.slack_ms;
+    result.refusable = found.refusable;
     result.lendable = !job.next && std::all_of(steps.begin(), steps.end(), [](const job::step &one) { return one.required_label.empty(); });
     return result;
 }
--- a/src/heathermoor/pool/scheduler_placing.cpp
+++ b/src/heathermoor/pool/scheduler_placing.cpp
@@ -363,55 +363,63 @@
     return room;
 }
 
+double scheduler::work_of_waiting(const open_job &job, std::int64_t places) {
+    const auto waiting =
+        std::count_if(job.slots.begin(), job.slots.end(), [](const task_slot &slot) { return slot.state == slot_state::waiting; });
+    return to_ms(job.forecast.typical()) * static_cast<double>(waiting) / std::max(1.0, static_cast<double>(places));
+}
+
+backlog scheduler::find_backlog(const open_job &job, const target_room &room, double ahead_ms, time_point now) const {
+    backlog found;
+    found.ahead_ms = ahead_ms;
+    found.slack_ms = std::max(0.0, to_ms(latest_start(job) - now) * internal::waiting_share);
+    found.places = room.places(job.queue.service, job.job.steps.front().need);
+    found.evacuated = m_holder.evacuated() > 0 && only_on_evacuated(job);
+    found.refusable = !job.ever_started && (found.evacuated || found.ahead_ms > found.slack_ms);
+    const auto least_retry = found.evacuated ? internal::evacuated_retry_after : internal::min_retry_after;
+    found.retry_after = std::max(least_retry, milliseconds{static_cast<std::int64_t>(ahead_ms)});
+    return found;
+}
+
+void scheduler::report_overload(const open_job &job, const backlog &found) {
+    m_overload.crowded = m_overload.crowded || found.ahead_ms > found.slack_ms * internal::pressed_share;
+    m_overload.pressed = m_overload.crowded || m_overload.pressed || found.places == 0;
+    if(found.refusable || found.places == 0) {
+        m_overload.jobs.push_back(describe_overload(job, found));
+    }
+}
+
+void scheduler::log_refused(const open_job &job, const backlog &found) const {
+    log_event(log_level::info, "pool", "job_refused",
+              {{"job", job.job.id},
+               {"ahead_ms", found.ahead_ms},
+               {"slack_ms", found.slack_ms},
+               {"places", found.places},
+               {"targets", m_holder.targets().size()},
+               {"evacuated", found.evacuated},
+               {"predicted_ms", job.forecast.typical()},
+               {"fastest_speed", m_fastest}});
+}
+
 void scheduler::refuse_overload(time_point now) {
     std::vector<std::pair<job_id, milliseconds>> refused;
     m_overload = {};
     const auto room = find_room(now);
-    const bool evacuating = m_holder.evacuated() > 0;
     double ahead_ms = 0;
     for(const auto &[position, job]: m_queue) {
         if(!may_start(*job, now)) {
             continue;
         }
-        const auto waiting =
-            std::count_if(job->slots.begin(), job->slots.end(), [](const task_slot &slot) { return slot.state == slot_state::waiting; });
-        const auto found = room.places(job->queue.service, job->job.steps.front().need);
-        const auto places = std::max(1.0, static_cast<double>(found));
-        const auto work_ms = to_ms(job->forecast.typical()) * static_cast<double>(waiting) / places;
-        const auto slack_ms = to_ms(latest_start(*job) - now) * internal::waiting_share;
-        const bool evacuated = evacuating && only_on_evacuated(*job);
-        const bool too_late = !job->ever_started && (evacuated || ahead_ms > std::max(0.0, slack_ms));
-        const auto least_retry = evacuated ? internal::evacuated_retry_after : internal::min_retry_after;
-        const auto retry = std::max(least_retry, milliseconds{static_cast<std::int64_t>(ahead_ms)});
+        const auto found = find_backlog(*job, room, ahead_ms, now);
         if(m_lending && !job->ever_started) {
-            m_overload.crowded = m_overload.crowded || ahead_ms > std::max(0.0, slack_ms) * internal::pressed_share;
-            m_overload.pressed = m_overload.crowded || m_overload.pressed || found == 0;
-            if(too_late || found == 0) {
-                auto overload = describe_overload(*job);
-                overload.retry_after = retry;
-                overload.ahead_ms = ahead_ms;
-                overload.slack_ms = slack_ms;
-                overload.refusable = too_late;
-                m_overload.jobs.push_back(std::move(overload));
-            }
+            report_overload(*job, found);
         }
-        if(too_late && m_lending) {
-            continue;
-        }
-        if(too_late) {
-            log_event(log_level::info, "pool", "job_refused",
-                      {{"job", job->job.id},
-                       {"ahead_ms", ahead_ms},
-                       {"slack_ms", slack_ms},
-                       {"places", places},
-                       {"targets", m_holder.targets().size()},
-                       {"evacuated", evacuated},
-                       {"predicted_ms", job->forecast.typical()},
-                       {"fastest_speed", m_fastest}});
-            refused.emplace_back(job->job.id, retry);
-            continue;
+        if(!found.refusable) {
+            ahead_ms += work_of_waiting(*job, found.places);
+        } else if(!m_lending) {
+            log_refused(*job, found);
+            refused.emplace_back(job->job.id, found.retry_after);
         }
-        ahead_ms += work_ms;
     }
     for(const auto &[id, retry]: refused) {
         refuse(id, retry, now);
