A caller's own time limit goes before its queue's timeout

What callers saw: jobs of which a task runs for more than 1.5 s were answered 504 after 0.1 to 0.7 s, though the callers had said that they wait for seconds, and though the objective of these jobs (a multiple of their length) was seconds away.

Cause: the door took the lesser of the caller's limit and the timeout of the queue, so that nothing behind it could tell a caller that leaves from one that waits.

Change: job::time_limit. The caller's word counts, longer or shorter than the timeout; the timeout is for callers that say nothing.

Shown: "A job that runs longer than its queue's timeout is completed while its caller waits" (real processes) gave 504 before and passes now.

--- a/src/heathermoor/heathermoor.hpp
+++ b/src/heathermoor/heathermoor.hpp
@@ -45,6 +45,7 @@
 #include "heathermoor/gateway/gateway.hpp"
 #include "heathermoor/host/node.hpp"
 #include "heathermoor/job/job.hpp"
+#include "heathermoor/job/time_limit.hpp"
 #include "heathermoor/lease/clock_bounds.hpp"
 #include "heathermoor/lease/run_bounds.hpp"
 #include "heathermoor/lease/target_ledger.hpp"
--- a/src/heathermoor/job/job.hpp
+++ b/src/heathermoor/job/job.hpp
@@ -53,7 +53,7 @@
     double stretch{1.0};
     /// Constant part of the latency objective, added to the multiple.
     milliseconds target_latency{};
-    /// Time limit for the answer to a job; zero for none.
+    /// Time limit for callers that do not say how long they wait; zero for none.
     milliseconds timeout{};
 };
 
