Urgent jobs do not wait behind begun ones that have time

Cause: the queue put jobs that have begun before all others, whatever their priority, and equals in order of arrival. That rested on limits of 1.5 s, within which a begun job has hardly any time to lose. A job that may take ten seconds stood before urgent ones that had 0.1 s.

Change: order by priority; within one, jobs that can still meet their objective before those that cannot, and these by their latest start for it. A begun job comes first only if its caller leaves before it could run twice, since its work would be lost then.

--- a/src/heathermoor/pool/scheduled_job.hpp
+++ b/src/heathermoor/pool/scheduled_job.hpp
@@ -64,16 +64,23 @@
     double for_deadline{};
 };
 
-/// @brief Position of a job among those that wait for capacity: those that have begun first, then by priority and age.
+/// @brief Position of a job among those that wait for capacity.
+///
+/// A job that has started tasks comes first if its caller leaves soon, since their work would be lost. The others go by priority;
+/// within one, those that can still meet their latency objective come first, and of these the one that can wait least.
 struct queue_position {
-    bool begun{};
+    /// Tasks have started, and the time until the caller leaves does not suffice for two more runs.
+    bool at_risk{};
     std::uint32_t priority{};
-    time_point sent_at;
+    /// The job can no longer meet its latency objective.
+    bool overdue{};
+    /// Latest start with which it meets the objective, as predicted when it began to wait.
+    time_point latest_start;
     job_id id;
 
     friend bool operator<(const queue_position &left, const queue_position &right) noexcept {
-        return std::tuple{!left.begun, left.priority, left.sent_at, std::string_view{left.id.str()}} <
-               std::tuple{!right.begun, right.priority, right.sent_at, std::string_view{right.id.str()}};
+        return std::tuple{!left.at_risk, left.priority, left.overdue, left.latest_start, std::string_view{left.id.str()}} <
+               std::tuple{!right.at_risk, right.priority, right.overdue, right.latest_start, std::string_view{right.id.str()}};
     }
 };
 
--- a/src/heathermoor/pool/scheduler.cpp
+++ b/src/heathermoor/pool/scheduler.cpp
@@ -109,7 +109,7 @@
 void scheduler::join(open_job &job, const submission &work, time_point now) {
     add_gateway(job, work.from);
     job.ever_started = job.ever_started || work.may_have_run;
-    update_queue(job);
+    update_queue(job, now);
     if(work.earlier_runs_end_in > duration::zero()) {
         // Another scheduler had the job in the meantime and may have started runs.
         set_earlier_runs(job, work, now);
@@ -172,7 +172,7 @@
     log_opened(stored, now);
     adopt_orphans(stored, now);
     if(const auto known = m_jobs.find(id); known != m_jobs.end()) {
-        update_queue(known->second);
+        update_queue(known->second, now);
     }
     m_place_due = true;
 }
@@ -344,7 +344,7 @@
 void scheduler::close(open_job &job, time_point now) {
     job.closing = true;
     end_reservation(job, reservation::reservation_end::dropped, now);
-    update_queue(job);
+    update_queue(job, now);
     job.gateways.clear();
     for(const auto &slot: job.slots) {
         if(slot.state == slot_state::placed) {
@@ -423,6 +423,7 @@
     update_settling(now);
     m_fastest = fastest_speed(now);
     end_unreachable_jobs(now);
+    reorder_queue(now);
     std::erase_if(m_recent_answers, [now](const auto &item) { return now - item.second.at > internal::recent_answer_time; });
     std::erase_if(m_orphan_ends, [now](const auto &item) { return now - item.second.ended_at > internal::recent_answer_time; });
     update_reservations(now);
--- a/src/heathermoor/pool/scheduler.hpp
+++ b/src/heathermoor/pool/scheduler.hpp
@@ -298,8 +298,11 @@
     [[nodiscard]] static duration objective(const open_job &job);
     /// Processor time of all tasks, in core-seconds, by the run time predicted on arrival.
     [[nodiscard]] static double predicted_work(const open_job &job);
-    /// Puts a job into the queue, moves it there or takes it out, as its tasks are.
-    void update_queue(open_job &job);
+    [[nodiscard]] queue_position position_of(const open_job &job, time_point now) const;
+    /// Puts a job into the queue, moves it there or takes it out, as its tasks and the time are.
+    void update_queue(open_job &job, time_point now);
+    /// Moves the jobs whose position has changed with time.
+    void reorder_queue(time_point now);
     /// Whether the job may be started now: its caller waits, and no run of an earlier scheduler may be active.
     [[nodiscard]] bool may_start(const open_job &job, time_point now) const;
     /// Least of each resource that any waiting task of the job needs.
--- a/src/heathermoor/pool/scheduler_placing.cpp
+++ b/src/heathermoor/pool/scheduler_placing.cpp
@@ -253,16 +253,40 @@
     return started;
 }
 
-void scheduler::update_queue(open_job &job) {
+queue_position scheduler::position_of(const open_job &job, time_point now) const {
+    queue_position position;
+    position.priority = job.queue.priority;
+    position.latest_start = job.queued ? job.queued->latest_start : latest_start(job);
+    position.overdue = now > position.latest_start;
+    position.id = job.job.id;
+    const auto another_run = from_ms(to_ms(job.forecast.longest(unfinished(job))) / std::max(1.0, m_fastest));
+    position.at_risk = job.ever_started && now + another_run > latest_useful_start(job);
+    return position;
+}
+
+void scheduler::update_queue(open_job &job, time_point now) {
     const bool waits = !job.closing && std::any_of(job.slots.begin(), job.slots.end(),
                                                    [](const task_slot &slot) { return slot.state == slot_state::waiting; });
-    if(job.queued && (!waits || job.queued->begun != job.ever_started)) {
+    const auto position = waits ? std::optional{position_of(job, now)} : std::nullopt;
+    if(job.queued) {
         m_queue.erase(*job.queued);
-        job.queued.reset();
     }
-    if(waits && !job.queued) {
-        job.queued = queue_position{job.ever_started, job.queue.priority, job.sent_at, job.job.id};
-        m_queue.emplace(*job.queued, &job);
+    job.queued = position;
+    if(position) {
+        m_queue.emplace(*position, &job);
+    }
+}
+
+void scheduler::reorder_queue(time_point now) {
+    std::vector<open_job *> moved;
+    for(const auto &[position, job]: m_queue) {
+        const auto present = position_of(*job, now);
+        if(present.overdue != position.overdue || present.at_risk != position.at_risk) {
+            moved.push_back(job);
+        }
+    }
+    for(auto *job: moved) {
+        update_queue(*job, now);
     }
 }
 
@@ -349,7 +373,7 @@
     const auto late = place_held_back(candidates, now);
     placed.insert(placed.end(), late.begin(), late.end());
     for(auto *job: placed) {
-        update_queue(*job);
+        update_queue(*job, now);
     }
 }
 
--- a/src/heathermoor/pool/scheduler_runs.cpp
+++ b/src/heathermoor/pool/scheduler_runs.cpp
@@ -91,7 +91,7 @@
         if(end.how == lease::run_end::done && slot->state == slot_state::waiting && !job.closing) {
             slot->state = slot_state::done;
         }
-        update_queue(job);
+        update_queue(job, now);
         erase_if_closed(end.task.job, now);
         return;
     }
@@ -127,7 +127,7 @@
             finish(job, {job::outcome::completed, errc::ok, {}}, now);
         }
     }
-    update_queue(job);
+    update_queue(job, now);
     erase_if_closed(end.task.job, now);
 }
 
@@ -164,7 +164,7 @@
     slot->last_run = std::max(slot->last_run, raw(run.run));
     slot->placed_at = now;
     job.ever_started = true;
-    update_queue(job);
+    update_queue(job, now);
 }
 
 void scheduler::target_taken(const target_id &target, const std::vector<job::task_ref> &runs, time_point lapse, time_point now) {
@@ -227,7 +227,7 @@
             } else if(lapsed == 0) {
                 continue;
             }
-            update_queue(job);
+            update_queue(job, now);
             if(job.closing) {
                 closed.push_back(id);
             }
