Where a task may go depends on the objective too, not on the caller's limit alone

Cause: "fast enough" meant that the caller does not leave first. While all limits were 1.5 s, that was near most objectives; with limits of several seconds each slow target is fast enough. One figure stood for two: what the caller wants, and when it leaves.

Change: a job also waits for a fast target if a slow one would cost more than 0.4 of the chance to meet its objective, targets 1.3 times as fast exist, and it has not waited in vain yet: it counts on another wait as long as the one so far.

--- a/src/heathermoor/pool/policy.hpp
+++ b/src/heathermoor/pool/policy.hpp
@@ -7,6 +7,9 @@
 /// Relative difference up to which two speeds count as equal; the target with less capacity left is then chosen.
 inline constexpr double speed_tolerance = 0.08;
 
+/// Minimum ratio of speeds for moving a run, or for waiting for a faster target; a smaller one may be an error of the estimates.
+inline constexpr double worthwhile_speedup = 1.3;
+
 /// Minimum retry-after time of a refusal.
 inline constexpr milliseconds min_retry_after{500};
 
--- a/src/heathermoor/pool/scheduled_job.hpp
+++ b/src/heathermoor/pool/scheduled_job.hpp
@@ -60,8 +60,8 @@
 struct speed_range {
     /// Speed that meets the latency objective; the slowest target above it is preferred.
     double for_objective{};
-    /// Minimum speed; with less the deadline is likely to be missed, and waiting for another target is better.
-    double for_deadline{};
+    /// Minimum speed; with less the objective or the deadline is likely to be missed, and waiting for another target is better.
+    double least{};
 };
 
 /// @brief Position of a job among those that wait for capacity.
--- a/src/heathermoor/pool/scheduler.hpp
+++ b/src/heathermoor/pool/scheduler.hpp
@@ -322,7 +322,11 @@
     [[nodiscard]] static bool suits(const open_job &job, const task_slot &slot, const candidate &one);
     [[nodiscard]] static bool better_fit(const target_fit &left, const target_fit &right, double preferred_speed) noexcept;
     [[nodiscard]] double objective_speed(const open_job &job, time_point now) const;
-    [[nodiscard]] double deadline_speed(const open_job &job, time_point now) const;
+    /// Speed of a target below which the job had better wait for a fast one.
+    [[nodiscard]] double least_speed(const open_job &job, time_point now) const;
+    /// Speed with which a start now meets a limit as likely, but for a tolerated loss, as one on a fast target after a wait.
+    [[nodiscard]] double speed_unless_waiting(const open_job &job, time_point limit, duration wait, double tolerated_loss,
+                                              time_point now) const;
     [[nodiscard]] bool usable(const held_target &target, time_point now);
     /// Usable, or about to be once a claim is answered.
     [[nodiscard]] bool available_soon(const held_target &target, time_point now);
--- a/src/heathermoor/pool/scheduler_outcomes.cpp
+++ b/src/heathermoor/pool/scheduler_outcomes.cpp
@@ -51,7 +51,7 @@
                {"tasks", job.slots.size()},
                {"predicted_ms", job.forecast.typical()},
                {"slowest_speed", slowest->placed_speed},
-               {"least_speed", speeds.for_deadline},
+               {"least_speed", speeds.least},
                {"preferred_speed", speeds.for_objective},
                {"fastest_speed", m_fastest}});
 }
--- a/src/heathermoor/pool/scheduler_pace.cpp
+++ b/src/heathermoor/pool/scheduler_pace.cpp
@@ -21,9 +21,6 @@
 /// target's speed before it has ended.
 constexpr double slow_pace = 2.0;
 
-/// Minimum ratio of speeds for moving a run; a smaller one may be an error of the estimates.
-constexpr double worthwhile_speedup = 1.3;
-
 /// The fastest speed is the highest one after leaving out one target in so many: of many estimates the highest are too high.
 constexpr std::size_t targets_per_outlier = 10;
 
--- a/src/heathermoor/pool/scheduler_placing.cpp
+++ b/src/heathermoor/pool/scheduler_placing.cpp
@@ -26,6 +26,9 @@
 /// Largest loss in the chance of meeting the deadline for which a job starts on a slow target at once instead of waiting for a fast one.
 constexpr double tolerated_loss = 0.05;
 
+/// The same for the chance of meeting the latency objective: a late answer is worth something too, and a target left idle is lost.
+constexpr double tolerated_objective_loss = 0.4;
+
 /// Chance of meeting the deadline at the latest start of a job; a job that would start later is refused.
 constexpr double worthwhile_chance = 0.2;
 
@@ -145,15 +148,21 @@
     return left_ms > 0 ? to_ms(job.forecast.time_for(internal::objective_chance, unfinished(job))) / left_ms : 0;
 }
 
-double scheduler::deadline_speed(const open_job &job, time_point now) const {
+double scheduler::least_speed(const open_job &job, time_point now) const {
+    const auto for_deadline = speed_unless_waiting(job, job.deadline, internal::fast_target_wait, internal::tolerated_loss, now);
+    // Who has waited for long will probably wait for as long again.
+    const auto wait = std::max<duration>(internal::fast_target_wait, now - job.sent_at);
+    const auto objective_end = std::min(job.sent_at + objective(job), job.deadline);
+    const auto for_objective = speed_unless_waiting(job, objective_end, wait, internal::tolerated_objective_loss, now);
+    return std::max(std::min(for_deadline, m_fastest * (1 - internal::speed_tolerance)),
+                    std::min(for_objective, m_fastest / internal::worthwhile_speedup));
+}
+
+double scheduler::speed_unless_waiting(const open_job &job, time_point limit, duration wait, double tolerated_loss, time_point now) const {
     const auto tasks = unfinished(job);
-    const auto left = job.deadline - now;
-    const auto chance = job.forecast.chance(tasks, left - internal::fast_target_wait, m_fastest) - internal::tolerated_loss;
-    if(chance <= 0) {
-        return 0;
-    }
-    const auto needed = to_ms(job.forecast.time_for(chance, tasks)) / to_ms(left);
-    return std::min(needed, m_fastest * (1 - internal::speed_tolerance));
+    const auto left = limit - now;
+    const auto chance = job.forecast.chance(tasks, left - wait, m_fastest) - tolerated_loss;
+    return chance > 0 ? to_ms(job.forecast.time_for(chance, tasks)) / to_ms(left) : 0;
 }
 
 candidate *scheduler::choose_target(const open_job &job, const task_slot &slot, const speed_range &speeds,
@@ -166,7 +175,7 @@
     target_fit best_fit;
     for(auto &one: candidates) {
         ++m_counts.targets_compared;
-        if(one.target->entry.service != job.queue.service || !step.need.fits(one.free) || one.speed < speeds.for_deadline ||
+        if(one.target->entry.service != job.queue.service || !step.need.fits(one.free) || one.speed < speeds.least ||
            !suits(job, slot, one) || !step.need.fits(room_beside(one, run, ahead, now))) {
             continue;
         }
@@ -325,7 +334,7 @@
 
 const speed_range &scheduler::speeds_for(open_job &job, time_point now) const {
     if(now - job.speeds_at >= internal::speeds_validity || job.speeds_fastest != m_fastest) {
-        job.speeds = {objective_speed(job, now), deadline_speed(job, now)};
+        job.speeds = {objective_speed(job, now), least_speed(job, now)};
         job.speeds_at = now;
         job.speeds_fastest = m_fastest;
     }
--- a/src/heathermoor/pool/scheduler_reserving.cpp
+++ b/src/heathermoor/pool/scheduler_reserving.cpp
@@ -83,7 +83,7 @@
     if(ready.count == 0) {
         return std::nullopt;
     }
-    const auto least_speed = speeds_for(job, now).for_deadline;
+    const auto least_speed = speeds_for(job, now).least;
     reservation::request wanted;
     wanted.job = job.job.id;
     wanted.need = ready.step->need;
@@ -212,7 +212,7 @@
     for(auto &one: candidates) {
         const auto &labels = one.target->entry.labels;
         const bool labelled = step.required_label.empty() || std::find(labels.begin(), labels.end(), step.required_label) != labels.end();
-        if(one.target->entry.service != job.queue.service || one.speed < speeds.for_deadline || !labelled) {
+        if(one.target->entry.service != job.queue.service || one.speed < speeds.least || !labelled) {
             continue;
         }
         const auto here = std::min<std::int64_t>(most, pieces(step.need, room_beside(one, run, ahead, now)));
--- a/tests/pool/scheduler_placing.cpp
+++ b/tests/pool/scheduler_placing.cpp
@@ -45,6 +45,40 @@
     }
 }
 
+// Guards against late answers where the caller waits for long: slow targets count as good enough, whatever the objective.
+SCENARIO("A long task waits a while for a fast target if a slow one would miss its objective", "[pool]") {
+    constexpr milliseconds late_on_slow{1'000};
+    scheduler_fixture fixture;
+    fixture.add_targets(2);
+    fixture.learn_speeds();
+    fixture.submit("short", "a", 2);
+    REQUIRE(fixture.starts.size() == 2);
+    REQUIRE(fixture.starts.front().to.target == target_id{"t0"});
+    fixture.answer_starts();
+
+    GIVEN("a long task, whose caller waits for long, while only the slow target has free capacity") {
+        fixture.caller_waits = milliseconds{10'000};
+        fixture.submit("long", "a", 1, 2, late_on_slow);
+        CHECK(fixture.starts.empty());
+        THEN("it starts on the fast target as soon as that has free capacity") {
+            fixture.end({job_id{"short"}, 0, 0}, lease::run_end::done);
+            fixture.now += milliseconds{50};
+            fixture.answer_reports();
+            REQUIRE(fixture.starts.size() == 1);
+            CHECK(fixture.starts.front().to.target == target_id{"t0"});
+        }
+        THEN("it starts on the slow target when it has waited in vain") {
+            for(int step = 0; step < 7; ++step) {
+                fixture.now += milliseconds{100};
+                fixture.tick();
+                fixture.answer_reports();
+            }
+            REQUIRE(fixture.starts.size() == 1);
+            CHECK(fixture.starts.front().to.target == target_id{"t1"});
+        }
+    }
+}
+
 // Guards against the collapse of a leader under a burst: each end of a run made it seek a target for every job that waited, so
 // that it had the least time for each run when most of them waited.
 SCENARIO("The end of a run costs little, however many jobs wait", "[pool]") {
--- a/tests/support/scheduler_fixture.hpp
+++ b/tests/support/scheduler_fixture.hpp
@@ -125,7 +125,7 @@
         one.queue.stretch = 1.6;
         one.queue.target_latency = milliseconds{60};
         one.from = std::move(from);
-        one.remaining = milliseconds{1'500};
+        one.remaining = caller_waits;
         subject.submit(std::move(one), now);
         subject.place(now);
     }
@@ -174,6 +174,8 @@
     };
 
     time_point now{seconds{100}};
+    /// Time for which the callers of the jobs submitted next wait.
+    milliseconds caller_waits{1'500};
     std::vector<start_order> starts;
     std::vector<start_order> answered_starts;
     std::vector<stop_order> stops;
