Answer a job when the last of its tasks ends that an earlier leader has started

What callers saw: after a change of leader, jobs of which all tasks were done got no answer until their callers left, as `deadline_exceeded` with `done` equal to `tasks`.

Cause: when a target reported the end of a run that another leader had ordered, the task counted as done, but nobody looked whether it was the last one. Within 1.5 s such a job looked like one that was too slow.

Change: finish_if_done, also there.

--- a/src/heathermoor/pool/scheduler.cpp
+++ b/src/heathermoor/pool/scheduler.cpp
@@ -250,10 +250,8 @@
             m_orphans.erase(running);
         }
     }
-    if(std::all_of(job.slots.begin(), job.slots.end(), [](const task_slot &slot) { return slot.state == slot_state::done; })) {
-        finish(job, {job::outcome::completed, errc::ok, {}}, now);
-        erase_if_closed(job.job.id, now);
-    }
+    finish_if_done(job, now);
+    erase_if_closed(job.job.id, now);
 }
 
 void scheduler::cancel(const gateway_ref &from, const job_id &id, time_point now) {
@@ -341,6 +339,12 @@
     close(job, now);
 }
 
+void scheduler::finish_if_done(open_job &job, time_point now) {
+    if(std::all_of(job.slots.begin(), job.slots.end(), [](const task_slot &slot) { return slot.state == slot_state::done; })) {
+        finish(job, {job::outcome::completed, errc::ok, {}}, now);
+    }
+}
+
 void scheduler::close(open_job &job, time_point now) {
     job.closing = true;
     end_reservation(job, reservation::reservation_end::dropped, now);
--- a/src/heathermoor/pool/scheduler.hpp
+++ b/src/heathermoor/pool/scheduler.hpp
@@ -266,6 +266,8 @@
     void log_answer(const open_job &job, const job::answer &answer, time_point now) const;
     void count_outcome(const open_job &job, const job::answer &answer, time_point now);
     void finish(open_job &job, const job::answer &answer, time_point now);
+    /// Answers a job all tasks of which are done.
+    void finish_if_done(open_job &job, time_point now);
     void close(open_job &job, time_point now);
     /// Whether a gateway waits for a job, or for the next one of the same id while the job is closing.
     [[nodiscard]] static bool waits(const gateway_ref &gateway, const open_job &job);
--- a/src/heathermoor/pool/scheduler_runs.cpp
+++ b/src/heathermoor/pool/scheduler_runs.cpp
@@ -90,6 +90,7 @@
     if(!current) {
         if(end.how == lease::run_end::done && slot->state == slot_state::waiting && !job.closing) {
             slot->state = slot_state::done;
+            finish_if_done(job, now);
         }
         update_queue(job, now);
         erase_if_closed(end.task.job, now);
@@ -123,8 +124,8 @@
     if(!job.closing) {
         if(slot->failures >= std::max<std::uint32_t>(1, job.queue.max_attempts)) {
             finish(job, {job::outcome::failed, errc::attempts_exhausted, {}}, now);
-        } else if(std::all_of(job.slots.begin(), job.slots.end(), [](const task_slot &one) { return one.state == slot_state::done; })) {
-            finish(job, {job::outcome::completed, errc::ok, {}}, now);
+        } else {
+            finish_if_done(job, now);
         }
     }
     update_queue(job, now);
--- a/tests/pool/scheduler.cpp
+++ b/tests/pool/scheduler.cpp
@@ -429,6 +429,37 @@
     }
 }
 
+// Guards against callers that wait until they leave for a job that is done: when the last of its tasks had been started by an earlier
+// leader and its end was reported after the job had been handed over, nobody answered.
+SCENARIO("A job is answered when the last of its tasks ends that an earlier leader has started", "[pool]") {
+    constexpr std::uint32_t tasks = 2;
+    scheduler_fixture fixture;
+    fixture.add_targets(1);
+    GIVEN("a job that was handed over, and that waits until its earlier runs are known") {
+        submission one;
+        one.job.id = job_id{"one"};
+        one.job.steps.push_back({tasks, {task_cpu, 10, 0}, declared, {}, {}, {}, 0});
+        one.queue.service = service_id{"s"};
+        one.from = gateway_of("a");
+        one.remaining = milliseconds{1'500};
+        one.earlier_runs_end_in = milliseconds{1'000};
+        one.may_have_run = true;
+        fixture.subject.submit(std::move(one), fixture.now);
+        WHEN("its target reports that all of its tasks have ended as done") {
+            for(std::uint32_t index = 0; index < tasks; ++index) {
+                fixture.running[{job_id{"one"}, 0, index}] = {target_id{"t0"}, run_number{1}, 0};
+                fixture.end({job_id{"one"}, 0, index}, lease::run_end::done);
+            }
+            fixture.now += milliseconds{5};
+            fixture.answer_reports();
+            THEN("the job is completed, and nothing is started") {
+                CHECK(fixture.count(job::outcome::completed) == 1);
+                CHECK(fixture.starts.empty());
+            }
+        }
+    }
+}
+
 // Guards against a double start beside a living earlier leader: it still counted the entry host as waiting, took a target back after
 // this target had reported to its successor, and started the task there.
 SCENARIO("Reports that were requested while an earlier leader may still start tasks do not show all runs", "[pool]") {
