A job goes on as long as any of its callers waits

What callers saw: a request that was repeated at another host while the first was open got the first caller's limit; its job was answered as `deadline_exceeded` while it still waited.

Change: a submission that joins a job moves its deadline back, never forward.

Shown: "A job goes on as long as any of its callers waits" failed before. A second request at the same host still does not move its leader's deadline.

--- a/src/heathermoor/pool/scheduler.cpp
+++ b/src/heathermoor/pool/scheduler.cpp
@@ -108,6 +108,7 @@
 
 void scheduler::join(open_job &job, const submission &work, time_point now) {
     add_gateway(job, work.from);
+    job.deadline = std::max(job.deadline, now + work.remaining - internal::answer_margin);
     job.ever_started = job.ever_started || work.may_have_run;
     update_queue(job, now);
     if(work.earlier_runs_end_in > duration::zero()) {
--- a/tests/pool/scheduler.cpp
+++ b/tests/pool/scheduler.cpp
@@ -460,6 +460,34 @@
     }
 }
 
+// Guards against one caller's limit taken for that of all: a request that was repeated at another host got the deadline of the first.
+SCENARIO("A job goes on as long as any of its callers waits", "[pool]") {
+    scheduler_fixture fixture;
+    fixture.add_targets(1);
+    GIVEN("a job whose second caller waits longer than the first") {
+        fixture.caller_waits = milliseconds{500};
+        fixture.submit("one", "a", 1);
+        fixture.answer_starts();
+        fixture.caller_waits = milliseconds{5'000};
+        fixture.submit("one", "b", 1);
+        WHEN("its task ends after the first caller has left") {
+            fixture.now += milliseconds{300};
+            fixture.tick();
+            fixture.answer_reports();
+            fixture.now += milliseconds{300};
+            fixture.tick();
+            fixture.answer_reports();
+            fixture.end({job_id{"one"}, 0, 0}, lease::run_end::done);
+            fixture.tick();
+            fixture.answer_reports();
+            THEN("the second caller gets the result") {
+                REQUIRE(fixture.answers.contains(job_id{"one"}));
+                CHECK(fixture.answers.at(job_id{"one"}).front().second.result == job::outcome::completed);
+            }
+        }
+    }
+}
+
 // Guards against a double start beside a living earlier leader: it still counted the entry host as waiting, took a target back after
 // this target had reported to its successor, and started the task there.
 SCENARIO("Reports that were requested while an earlier leader may still start tasks do not show all runs", "[pool]") {
